--- /dev/null
+++ b/Libraries/Packet/ip_header.cpp
@@ -0,0 +1,222 @@
+#include <Packet/ip_header.h>
+
+#include <Packet/byte_order.h>
+#include <Packet/checksum.h>
+#include <algorithm>
+#include <optional>
+
+namespace bilberryyard {
+
+namespace {
+
+    // IPv4 option types, RFC 791 section 3.1.
+    constexpr uint8_t optionEnd = 0;
+    constexpr uint8_t optionNoOperation = 1;
+
+    // IPv6 extension headers, RFC 8200 section 4.
+    constexpr uint8_t hopByHopHeader = 0;
+    constexpr uint8_t routingHeader = 43;
+    constexpr uint8_t fragmentHeader = 44;
+    constexpr uint8_t destinationOptionsHeader = 60;
+    constexpr size_t extensionHeaderUnit = 8;
+
+    constexpr uint16_t ipv4DontFragment = 0x4000;
+    constexpr uint16_t ipv4MoreFragments = 0x2000;
+    constexpr uint16_t ipv4FragmentOffset = 0x1fff;
+    constexpr uint16_t ipv6FragmentOffset = 0xfff8;
+
+    ip_address ipv4Address(std::span<uint8_t const> bytes, size_t offset) noexcept
+    {
+        ip_address address;
+        address.bytes[10] = 0xff;
+        address.bytes[11] = 0xff;
+        std::memcpy(address.bytes.data() + 12, bytes.data() + offset, 4);
+        return address;
+    }
+
+    ip_address ipv6Address(std::span<uint8_t const> bytes, size_t offset) noexcept
+    {
+        ip_address address;
+        std::memcpy(address.bytes.data(), bytes.data() + offset, address.bytes.size());
+        return address;
+    }
+
+    std::optional<drop_reason> checkIpv4Options(std::span<uint8_t const> options) noexcept
+    {
+        int count = 0;
+        while (!options.empty() && options[0] != optionEnd) {
+            if (options[0] == optionNoOperation) {
+                options = options.subspan(1);
+                continue;
+            }
+            if (options.size() < 2 || options[1] < 2 || options[1] > options.size())
+                return drop_reason::BadLength;
+            if (++count > maximumExtensionHeaders)
+                return drop_reason::TooManyExtensionHeaders;
+            options = options.subspan(options[1]);
+        }
+        return std::nullopt;
+    }
+
+    std::optional<drop_reason> checkWholeIpv4(std::span<uint8_t const> bytes, size_t headerSize) noexcept
+    {
+        size_t const totalLength = loadBigEndian16(bytes, 2);
+        if (totalLength < headerSize)
+            return drop_reason::BadLength;
+        if (totalLength > bytes.size())
+            return drop_reason::Truncated;
+        if (totalLength < bytes.size())
+            return drop_reason::BadLength;
+        if (internetChecksum(bytes.first(headerSize)) != 0)
+            return drop_reason::BadChecksum;
+        if (bytes[8] == 0)
+            return drop_reason::HopLimitZero;
+        if ((loadBigEndian16(bytes, 6) & (ipv4MoreFragments | ipv4FragmentOffset)) != 0)
+            return drop_reason::Fragment;
+        return std::nullopt;
+    }
+
+    ip_header_result parseIpv4(std::span<uint8_t const> bytes, ip_header_scope scope) noexcept
+    {
+        if (bytes.size() < ipv4HeaderSize)
+            return drop_reason::Truncated;
+        size_t const headerSize = (bytes[0] & 0x0f) * size_t { 4 };
+        if (headerSize < ipv4HeaderSize)
+            return drop_reason::BadLength;
+        if (headerSize > bytes.size())
+            return drop_reason::Truncated;
+        if (scope == ip_header_scope::Packet) {
+            if (auto const reason = checkWholeIpv4(bytes, headerSize))
+                return *reason;
+        } else if ((loadBigEndian16(bytes, 6) & ipv4FragmentOffset) != 0) {
+            return drop_reason::Fragment;
+        }
+        if (headerSize > ipv4HeaderSize) {
+            if (auto const reason = checkIpv4Options(bytes.first(headerSize).subspan(ipv4HeaderSize)))
+                return *reason;
+        }
+        return ip_header { ipv4Address(bytes, 12), ipv4Address(bytes, 16), 4, bytes[9],
+            static_cast<uint32_t>(headerSize) };
+    }
+
+    std::optional<drop_reason> checkWholeIpv6(std::span<uint8_t const> bytes) noexcept
+    {
+        size_t const totalLength = ipv6HeaderSize + loadBigEndian16(bytes, 4);
+        if (totalLength > bytes.size())
+            return drop_reason::Truncated;
+        if (totalLength < bytes.size())
+            return drop_reason::BadLength;
+        if (bytes[7] == 0)
+            return drop_reason::HopLimitZero;
+        return std::nullopt;
+    }
+
+    bool isExtensionHeader(uint8_t protocol) noexcept
+    {
+        return protocol == hopByHopHeader || protocol == routingHeader || protocol == fragmentHeader
+            || protocol == destinationOptionsHeader;
+    }
+
+    // Checks one extension header; the caller has checked that 8 bytes are there.
+    std::optional<drop_reason> checkExtensionHeader(
+        uint8_t type, std::span<uint8_t const> header, ip_header_scope scope) noexcept
+    {
+        if (type == fragmentHeader) {
+            bool const hasPorts = (loadBigEndian16(header, 2) & ipv6FragmentOffset) == 0;
+            return scope == ip_header_scope::Quoted && hasPorts ? std::nullopt : std::optional(drop_reason::Fragment);
+        }
+        // RFC 5095 section 3.
+        if (type == routingHeader && header[2] == 0)
+            return drop_reason::RoutingHeaderType0;
+        return std::nullopt;
+    }
+
+    std::optional<drop_reason> skipExtensionHeaders(
+        std::span<uint8_t const> bytes, ip_header_scope scope, ip_header& header) noexcept
+    {
+        size_t offset = ipv6HeaderSize;
+        uint8_t type = bytes[6];
+        for (int count = 0; isExtensionHeader(type); ++count) {
+            if (count == maximumExtensionHeaders)
+                return drop_reason::TooManyExtensionHeaders;
+            // Hop-by-hop options may only come first (RFC 8200 section 4.1).
+            if (type == hopByHopHeader && count != 0)
+                return drop_reason::UnknownProtocol;
+            auto const rest = bytes.subspan(offset);
+            if (rest.size() < extensionHeaderUnit)
+                return drop_reason::Truncated;
+            if (auto const reason = checkExtensionHeader(type, rest, scope))
+                return reason;
+            // The second byte of a fragment header is reserved and not a length.
+            size_t const units = type == fragmentHeader ? 1 : size_t { rest[1] } + 1;
+            if (units * extensionHeaderUnit > rest.size())
+                return drop_reason::Truncated;
+            type = rest[0];
+            offset += units * extensionHeaderUnit;
+        }
+        header.protocol = type;
+        header.payloadOffset = static_cast<uint32_t>(offset);
+        return std::nullopt;
+    }
+
+    ip_header_result parseIpv6(std::span<uint8_t const> bytes, ip_header_scope scope) noexcept
+    {
+        if (bytes.size() < ipv6HeaderSize)
+            return drop_reason::Truncated;
+        if (scope == ip_header_scope::Packet) {
+            if (auto const reason = checkWholeIpv6(bytes))
+                return *reason;
+        }
+        ip_header header { ipv6Address(bytes, 8), ipv6Address(bytes, 24), 6 };
+        // Mapped addresses must not appear on the wire (RFC 4942 section 2.2); here they would make a
+        // flow key equal to that of an IPv4 flow.
+        if (header.source.isIpv4() || header.destination.isIpv4())
+            return drop_reason::BadVersion;
+        if (auto const reason = skipExtensionHeaders(bytes, scope, header))
+            return *reason;
+        return header;
+    }
+
+} // namespace
+
+ip_header_result parseIpHeader(std::span<uint8_t const> bytes, ip_header_scope scope) noexcept
+{
+    if (bytes.empty())
+        return drop_reason::Truncated;
+    switch (bytes[0] >> 4) {
+    case 4:
+        return parseIpv4(bytes, scope);
+    case 6:
+        return parseIpv6(bytes, scope);
+    default:
+        return drop_reason::BadVersion;
+    }
+}
+
+size_t writeIpHeader(
+    ip_header const& header, uint8_t hopLimit, size_t payloadLength, std::span<uint8_t> output) noexcept
+{
+    if (header.source.isIpv4()) {
+        std::fill_n(output.begin(), ipv4HeaderSize, 0);
+        output[0] = 0x45;
+        storeBigEndian16(output, 2, static_cast<uint16_t>(ipv4HeaderSize + payloadLength));
+        // An atomic datagram needs no identification (RFC 6864 section 4.1).
+        storeBigEndian16(output, 6, ipv4DontFragment);
+        output[8] = hopLimit;
+        output[9] = header.protocol;
+        std::copy_n(header.source.bytes.begin() + 12, 4, output.begin() + 12);
+        std::copy_n(header.destination.bytes.begin() + 12, 4, output.begin() + 16);
+        storeBigEndian16(output, 10, internetChecksum(output.first(ipv4HeaderSize)));
+        return ipv4HeaderSize;
+    }
+    std::fill_n(output.begin(), ipv6HeaderSize, 0);
+    output[0] = 0x60;
+    storeBigEndian16(output, 4, static_cast<uint16_t>(payloadLength));
+    output[6] = header.protocol;
+    output[7] = hopLimit;
+    std::copy_n(header.source.bytes.begin(), 16, output.begin() + 8);
+    std::copy_n(header.destination.bytes.begin(), 16, output.begin() + 24);
+    return ipv6HeaderSize;
+}
+
+} // namespace bilberryyard
--- a/Libraries/Packet/parsed_packet.h
+++ b/Libraries/Packet/parsed_packet.h
@@ -67,7 +67,7 @@
     uint8_t tcpFlags = 0;
     uint32_t tcpSequence = 0;
     uint32_t tcpAcknowledgement = 0;
-    /// Bytes after the transport header.
+    /// Bytes after the transport header; 0 for IcmpError, which carries no payload of the flow.
     uint32_t payloadLength = 0;
     auto operator<=>(parsed_packet const&) const = default;
 };
