--- a/Libraries/Packet/flow_key.cpp
+++ b/Libraries/Packet/flow_key.cpp
@@ -1,17 +1,12 @@
 #include <Packet/flow_key.h>
 
 #include <Base/hashing.h>
+#include <Packet/ip_endpoint.h>
 
 namespace bilberryyard {
 
 namespace {
 
-    std::string endpointText(ip_address const& address, uint16_t port)
-    {
-        auto const text = address.isIpv4() ? address.toText() : "[" + address.toText() + "]";
-        return text + ":" + std::to_string(port);
-    }
-
     std::string protocolText(ip_protocol protocol)
     {
         switch (protocol) {
@@ -31,8 +26,8 @@
 
 std::string flow_key::toText() const
 {
-    return protocolText(protocol) + " " + endpointText(source, sourcePort) + " -> "
-        + endpointText(destination, destinationPort);
+    return protocolText(protocol) + " " + ip_endpoint { source, sourcePort }.toText() + " -> "
+        + ip_endpoint { destination, destinationPort }.toText();
 }
 
 uint64_t hashFlow(flow_key const& key, uint64_t seed)
--- a/Libraries/Packet/relay_header.cpp
+++ b/Libraries/Packet/relay_header.cpp
@@ -1,6 +1,7 @@
 #include <Packet/relay_header.h>
 
 #include <Packet/byte_order.h>
+#include <algorithm>
 
 namespace bilberryyard {
 
@@ -26,7 +27,7 @@
 
 } // namespace
 
-std::array<uint8_t, relayHeaderSize> encodeRelayHeader(relay_header const& header)
+std::array<uint8_t, relayHeaderSize> encodeRelayHeader(relay_header const& header) noexcept
 {
     std::array<uint8_t, relayHeaderSize> bytes {};
     storeBigEndian16(bytes, 0, relayMagic);
@@ -41,6 +42,16 @@
     return bytes;
 }
 
+std::optional<std::span<uint8_t>> prependRelayHeader(
+    std::span<uint8_t> buffer, size_t innerOffset, relay_header const& header) noexcept
+{
+    if (innerOffset < relayHeaderSize || innerOffset > buffer.size())
+        return std::nullopt;
+    auto const result = buffer.subspan(innerOffset - relayHeaderSize);
+    std::ranges::copy(encodeRelayHeader(header), result.begin());
+    return result;
+}
+
 std::optional<relay_header> decodeRelayHeader(std::span<uint8_t const> bytes) noexcept
 {
     if (bytes.size() < relayHeaderSize || loadBigEndian16(bytes, 0) != relayMagic || bytes[2] != relayVersion)
--- a/Libraries/Packet/relay_header.h
+++ b/Libraries/Packet/relay_header.h
@@ -41,9 +41,17 @@
 
 /// @param header The header.
 /// @return Its encoding in network byte order.
-std::array<uint8_t, relayHeaderSize> encodeRelayHeader(relay_header const& header);
+std::array<uint8_t, relayHeaderSize> encodeRelayHeader(relay_header const& header) noexcept;
 
-/// @param bytes A received datagram.
+/// Writes a relay header in front of an inner packet.
+/// @param buffer A buffer that holds the packet from innerOffset to its end.
+/// @param innerOffset Start of the packet, at least relayHeaderSize.
+/// @param header The header.
+/// @return The header and the packet, or nothing when there is no headroom.
+std::optional<std::span<uint8_t>> prependRelayHeader(
+    std::span<uint8_t> buffer, size_t innerOffset, relay_header const& header) noexcept;
+
+/// @param bytes A received datagram; the inner packet starts at relayHeaderSize.
 /// @return The header, or nothing when the bytes are not a relay header of this version.
 std::optional<relay_header> decodeRelayHeader(std::span<uint8_t const> bytes) noexcept;
 
