--- /dev/null
+++ b/Libraries/Membership/server_directory.cpp
@@ -0,0 +1,203 @@
+#include <Membership/server_directory.h>
+
+#include <Base/error_kind.h>
+#include <algorithm>
+#include <string>
+
+namespace bilberryyard {
+
+namespace {
+
+    constexpr uint32_t counterBits = 12;
+    constexpr uint32_t incarnationBits = 8;
+    constexpr uint32_t maximumHost = (1U << (32 - counterBits - incarnationBits)) - 1;
+
+} // namespace
+
+server_directory::server_directory(routed_peer self, directory_settings const& settings)
+    : m_self(self)
+    , m_settings(settings)
+{
+}
+
+absl::StatusOr<server_directory> server_directory::create(routed_peer self, directory_settings const& settings)
+{
+    // The highest host number is excluded, so that no number equals noServer.
+    if (self.host.value >= maximumHost)
+        return makeError(error_kind::InvalidArgument,
+            "host " + std::to_string(self.host.value) + " is not below " + std::to_string(maximumHost));
+    if (settings.lease <= duration::zero() || settings.retention < settings.lease)
+        return makeError(error_kind::InvalidArgument, "the lease must be positive and not exceed the retention");
+    return server_directory(self, settings);
+}
+
+absl::StatusOr<server_id> server_directory::announce(server_announcement const& announcement, monotonic_time now)
+{
+    if (auto status = validateAnnouncement(announcement); !status.ok())
+        return status;
+    auto const known = m_entries.find(announcement.key);
+    if (known != m_entries.end() && known->second.stamp.incarnation > announcement.incarnation)
+        return makeError(error_kind::Conflict,
+            "incarnation " + std::to_string(announcement.incarnation) + " is older than "
+                + std::to_string(known->second.stamp.incarnation));
+    uint32_t sequence = 1;
+    if (known == m_entries.end()) {
+        auto const id = allocate();
+        if (!id.ok())
+            return id.status();
+        claim(*id, announcement.key);
+    } else {
+        sequence = known->second.stamp.sequence + 1;
+    }
+    store(announcement, { announcement.incarnation, sequence, m_self.host }, now, now);
+    return m_entries.at(announcement.key).id;
+}
+
+absl::Status server_directory::merge(server_record const& record, monotonic_time now)
+{
+    if (auto status = validateAnnouncement(record.announcement); !status.ok())
+        return status;
+    if (record.id == noServer || record.age < duration::zero()
+        || record.stamp.incarnation != record.announcement.incarnation)
+        return makeError(error_kind::InvalidArgument, "server record with an impossible number, age or stamp");
+    if (record.age > m_settings.retention)
+        return absl::OkStatus();
+    claim(record.id, record.announcement.key);
+    store(record.announcement, record.stamp, now - record.age, now);
+    return absl::OkStatus();
+}
+
+void server_directory::expire(monotonic_time now)
+{
+    std::erase_if(m_entries, [&](auto const& item) { return now - item.second.renewedAt > m_settings.retention; });
+    std::erase_if(m_owners, [&](auto const& item) { return !m_entries.contains(item.second); });
+}
+
+std::vector<server_record> server_directory::recordsSince(uint64_t after, record_scope scope, monotonic_time now) const
+{
+    std::vector<server_record> records;
+    for (auto const& [key, entry] : m_entries) {
+        if (entry.changedAt <= after)
+            continue;
+        if (scope == record_scope::ReceivedHere && entry.stamp.receiver != m_self.host)
+            continue;
+        records.push_back({ entry.id, entry.announcement, entry.stamp, now - entry.renewedAt });
+    }
+    std::sort(records.begin(), records.end());
+    return records;
+}
+
+directory_entry const* server_directory::find(server_id id) const
+{
+    auto const owner = m_owners.find(id);
+    if (owner == m_owners.end())
+        return nullptr;
+    auto const entry = m_entries.find(owner->second);
+    return entry == m_entries.end() ? nullptr : &entry->second;
+}
+
+server_id server_directory::canonical(server_id id) const
+{
+    auto const* entry = find(id);
+    return entry ? entry->id : noServer;
+}
+
+std::vector<directory_entry> server_directory::entries() const
+{
+    std::vector<directory_entry> result;
+    result.reserve(m_entries.size());
+    for (auto const& [key, entry] : m_entries)
+        result.push_back(entry);
+    return result;
+}
+
+bool server_directory::isLeased(directory_entry const& entry, monotonic_time now) const
+{
+    return now - entry.renewedAt <= m_settings.lease;
+}
+
+server_condition server_directory::conditionOf(
+    directory_entry const& entry, std::set<zone_id> const& reachableZones, monotonic_time now) const
+{
+    if (!isLeased(entry, now))
+        return reachableZones.contains(entry.announcement.zone) ? server_condition::Dead : server_condition::Closed;
+    return entry.announcement.state == server_state::Serving ? server_condition::Accepting : server_condition::Closed;
+}
+
+absl::StatusOr<server_id> server_directory::allocate()
+{
+    uint32_t const incarnation = m_self.incarnation & ((1U << incarnationBits) - 1);
+    uint32_t const prefix = (m_self.host.value << incarnationBits | incarnation) << counterBits;
+    // Numbers of an earlier incarnation with the same low bits may be known from peers; they are skipped.
+    while (m_nextNumber < 1U << counterBits) {
+        server_id const id { prefix | m_nextNumber++ };
+        if (!m_owners.contains(id))
+            return id;
+    }
+    return makeError(error_kind::ResourceExhausted,
+        "host " + std::to_string(m_self.host.value) + " has numbered " + std::to_string(1U << counterBits)
+            + " servers; restart it to get new numbers");
+}
+
+void server_directory::claim(server_id id, server_key const& key)
+{
+    auto const [owner, inserted] = m_owners.emplace(id, key);
+    if (!inserted && owner->second != key) {
+        // One number for two servers would send packets of one to the other: the lower key keeps it, and
+        // the other server is numbered anew by its next announcement.
+        ++m_numberCollisions;
+        auto const loser = std::max(owner->second, key);
+        owner->second = std::min(owner->second, key);
+        renumber(loser);
+    }
+    renumber(owner->second);
+}
+
+void server_directory::renumber(server_key const& key)
+{
+    auto const entry = m_entries.find(key);
+    if (entry == m_entries.end())
+        return;
+    auto const lowest
+        = std::find_if(m_owners.begin(), m_owners.end(), [&](auto const& item) { return item.second == key; });
+    if (lowest == m_owners.end()) {
+        m_entries.erase(entry);
+        return;
+    }
+    if (entry->second.id == lowest->first)
+        return;
+    entry->second.id = lowest->first;
+    entry->second.changedAt = ++m_changeCounter;
+}
+
+void server_directory::store(
+    server_announcement const& announcement, report_stamp const& stamp, monotonic_time renewedAt, monotonic_time now)
+{
+    auto const lowest = std::find_if(
+        m_owners.begin(), m_owners.end(), [&](auto const& item) { return item.second == announcement.key; });
+    if (lowest == m_owners.end())
+        return;
+    auto const [item, inserted] = m_entries.try_emplace(announcement.key);
+    auto& entry = item->second;
+    bool const sameIncarnation = !inserted && entry.stamp.incarnation == stamp.incarnation;
+    auto const oldState = entry.announcement.state;
+    if (!inserted && stamp <= entry.stamp) {
+        // An older record of the same incarnation may still be the first to say that the server drains.
+        if (!sameIncarnation || announcement.state <= oldState)
+            return;
+        entry.announcement.state = announcement.state;
+    } else {
+        entry.announcement = announcement;
+        if (sameIncarnation)
+            entry.announcement.state = std::max(announcement.state, oldState);
+        entry.stamp = stamp;
+        entry.renewedAt = inserted ? renewedAt : std::max(entry.renewedAt, renewedAt);
+    }
+    bool const wasServing = sameIncarnation && oldState == server_state::Serving;
+    if (entry.announcement.state == server_state::Serving && !wasServing)
+        entry.servingSince = now;
+    entry.id = lowest->first;
+    entry.changedAt = ++m_changeCounter;
+}
+
+} // namespace bilberryyard
