--- a/Tests/Packet/packet_samples.h
+++ b/Tests/Packet/packet_samples.h
@@ -10,6 +10,12 @@
 #include <string>
 #include <vector>
 
+namespace bilberryyard {
+
+inline std::ostream& operator<<(std::ostream& stream, flow_key const& key) { return stream << key.toText(); }
+
+} // namespace bilberryyard
+
 namespace bilberryyard::samples {
 
 using bytes = std::vector<uint8_t>;
@@ -102,13 +108,6 @@
     return packet;
 }
 
-/// A packet under a name, as a row of a table.
-struct packet_row {
-    std::string name;
-    bytes packet;
-    friend std::ostream& operator<<(std::ostream& stream, packet_row const& row) { return stream << row.name; }
-};
-
 /// Offset of the transport header of a packet without options or extension headers.
 inline size_t transportOffset(bytes const& packet) { return packet[0] >> 4 == 4 ? ipv4HeaderSize : ipv6HeaderSize; }
 
