Meta: Add fuzz.sh and fuzz targets for the packet parsers

Cause: the parsers take bytes from the network, and no check ran them on arbitrary input.

Change: targets for parsePacket, decodeRelayHeader, GUE decapsulation and rejections, and Meta/fuzz.sh, which runs every target that CMake declares with a fixed seed.

--- a/Meta/Packages.cmake
+++ b/Meta/Packages.cmake
@@ -5,7 +5,9 @@
 target_include_directories(bilberryyard_options INTERFACE ${CMAKE_SOURCE_DIR}/Libraries)
 target_link_libraries(bilberryyard_options INTERFACE Threads::Threads)
 if(BILBERRYYARD_SANITIZE)
-    target_compile_options(bilberryyard_options INTERFACE -fsanitize=${BILBERRYYARD_SANITIZE} -fno-omit-frame-pointer)
+    # Without -fno-sanitize-recover the undefined behaviour sanitizer reports a finding and goes on, and the test passes.
+    target_compile_options(bilberryyard_options INTERFACE
+        -fsanitize=${BILBERRYYARD_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer)
     target_link_options(bilberryyard_options INTERFACE -fsanitize=${BILBERRYYARD_SANITIZE})
 endif()
 
@@ -41,6 +43,12 @@
     set_tests_properties(${name} PROPERTIES TIMEOUT 240)
 endfunction()
 
+# Meta/fuzz.sh builds the target fuzz_targets and runs the programs that fuzz-targets.txt names.
+if(BILBERRYYARD_FUZZ)
+    add_custom_target(fuzz_targets)
+    file(WRITE ${CMAKE_BINARY_DIR}/fuzz-targets.txt "")
+endif()
+
 # bilberryyard_fuzz_target(<name> SOURCE <file> [DEPENDS <target>...])
 # A libFuzzer program; built only with BILBERRYYARD_FUZZ. The libraries it links are instrumented
 # by BILBERRYYARD_SANITIZE=address,undefined,fuzzer-no-link.
@@ -52,4 +60,6 @@
     add_executable(${name} ${ARG_SOURCE})
     target_link_options(${name} PRIVATE -fsanitize=fuzzer)
     target_link_libraries(${name} PRIVATE bilberryyard_options ${ARG_DEPENDS})
+    add_dependencies(fuzz_targets ${name})
+    file(APPEND ${CMAKE_BINARY_DIR}/fuzz-targets.txt "${name}\n")
 endfunction()
--- /dev/null
+++ b/Tests/Fuzz/fuzz_relay_header.cpp
@@ -0,0 +1,29 @@
+// Guards against reads beyond a datagram and against a header that a balancer passes on differently from how it
+// received it.
+#include "fuzz_packets.h"
+#include <Packet/relay_header.h>
+#include <algorithm>
+
+using namespace bilberryyard;
+
+namespace {
+
+void decodeOne(std::span<uint8_t const> bytes)
+{
+    auto const header = decodeRelayHeader(bytes);
+    if (header)
+        fuzz::require(std::ranges::equal(encodeRelayHeader(*header), bytes.first(relayHeaderSize)));
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(uint8_t const* data, size_t size)
+{
+    decodeOne({ data, size });
+    // The same bytes behind a valid magic and version.
+    std::vector<uint8_t> prefixed(data, data + size);
+    auto const valid = encodeRelayHeader({});
+    std::copy_n(valid.begin(), std::min<size_t>(prefixed.size(), 3), prefixed.begin());
+    decodeOne(prefixed);
+    return 0;
+}
