Configuration: Add the model, its reader and the replicated state machine

The shared configuration needs a model that refuses mistakes with their place, and a deterministic state machine for the replicated log.

--- /dev/null
+++ b/Libraries/Configuration/configuration_exception.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <Configuration/exception_target.h>
+#include <Configuration/setting_key.h>
+#include <compare>
+#include <string>
+
+namespace bilberryyard {
+
+/// A departure from the defaults and overrides, with the reason for it.
+struct configuration_exception {
+    exception_target target;
+    std::string key;
+    setting_value value;
+    std::string reason;
+    std::string author;
+    auto operator<=>(configuration_exception const&) const = default;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Configuration/configuration_state_machine.cpp
@@ -0,0 +1,223 @@
+#include <Configuration/configuration_state_machine.h>
+
+#include <Configuration/configuration_checks.h>
+#include <Configuration/configuration_difference.h>
+#include <Configuration/configuration_reader.h>
+#include <Configuration/document_parser.h>
+#include <algorithm>
+#include <utility>
+
+namespace bilberryyard {
+
+namespace {
+
+    // Results are kept for every request id and audit entry, so their size is bounded.
+    constexpr size_t maximumLines = 100;
+    constexpr size_t maximumLineLength = 300;
+    constexpr size_t maximumMessageLength = 1000;
+    constexpr size_t maximumAuditedText = 500;
+
+    // Cuts at a byte that does not continue a UTF-8 sequence.
+    std::string shortened(std::string_view text, size_t length)
+    {
+        if (text.size() <= length)
+            return std::string(text);
+        while (length > 0 && (static_cast<uint8_t>(text[length]) & 0xc0) == 0x80)
+            --length;
+        return std::string(text.substr(0, length)) + "...";
+    }
+
+    // Refused commands may hold any bytes; the audit trail is shown to operators.
+    std::string auditedText(std::string_view text)
+    {
+        return isCleanText(text) ? shortened(text, maximumAuditedText) : "(not readable)";
+    }
+
+    std::vector<std::string> boundedLines(std::vector<std::string> lines)
+    {
+        size_t const count = lines.size();
+        if (count > maximumLines) {
+            lines.resize(maximumLines);
+            lines.push_back("and " + std::to_string(count - maximumLines) + " more changes");
+        }
+        for (auto& line : lines)
+            line = shortened(line, maximumLineLength);
+        return lines;
+    }
+
+    absl::StatusOr<configuration> withChange(configuration const&, replace_configuration_change const& change)
+    {
+        return configuration_reader("configuration").read(change.yaml);
+    }
+
+    absl::StatusOr<configuration> withChange(configuration const& current, add_exception_change const& change)
+    {
+        auto const tree = parseDocument(change.yaml, "exception");
+        if (!tree.ok())
+            return tree.status();
+        auto const exception = configuration_reader("exception").readException(*tree);
+        if (!exception.ok())
+            return exception.status();
+        return current.withException(*exception);
+    }
+
+    absl::StatusOr<configuration> withChange(configuration const& current, remove_exception_change const& change)
+    {
+        auto const target = exception_target::parse(change.target);
+        if (!target.ok())
+            return target.status();
+        return current.withoutException(*target, change.key);
+    }
+
+} // namespace
+
+configuration_state_machine::configuration_state_machine(state_machine_limits limits)
+    : m_limits(limits)
+    , m_configuration(std::make_shared<configuration const>())
+    , m_requests(limits.requestCapacity)
+{
+}
+
+command_result configuration_state_machine::apply(std::string_view command)
+{
+    auto const decoded = configuration_command::decode(command);
+    if (!decoded.ok()) {
+        auto result = refuse(decoded.status());
+        addAuditEntry({}, result);
+        return result;
+    }
+    if (auto const* record = m_requests.find(decoded->requestId)) {
+        if (record->contentHash == decoded->contentHash())
+            return record->result;
+        auto result = refuse(makeError(error_kind::InvalidArgument,
+            "request id " + decoded->requestId + " was used for another change; choose a new request id"));
+        addAuditEntry(*decoded, result);
+        return result;
+    }
+    auto result = decide(*decoded);
+    addAuditEntry(*decoded, result);
+    return result;
+}
+
+command_result configuration_state_machine::decide(configuration_command const& command)
+{
+    if (!isValidRequestId(command.requestId))
+        return refuse(makeError(error_kind::InvalidArgument,
+            "a request id is 1 to 128 of the characters A-Z, a-z, 0-9, '.', '_', ':' and '-'"));
+    if (m_requests.isBelowHorizon(command.baseRevision))
+        return refuse(makeError(error_kind::FailedPrecondition,
+            "base revision " + std::to_string(command.baseRevision)
+                + " is too old to tell whether this request was executed before; read the audit trail for request id "
+                + command.requestId + " and the configuration, and submit a new request if it is still needed"));
+    if (command.baseRevision > m_revision && !m_requests.hasRoomForFutureBase(m_revision))
+        return refuse(makeError(error_kind::Unavailable,
+            "base revision " + std::to_string(command.baseRevision)
+                + " does not exist yet, and too many such requests are recorded; this request is undecided"));
+    auto outcome = evaluate(command);
+    if (outcome.value) {
+        m_revision = outcome.result.revision;
+        m_configuration = outcome.value;
+        m_watermarks = outcome.watermarks;
+    }
+    m_requests.record({ command.requestId, command.contentHash(), command.baseRevision, outcome.result }, m_revision);
+    return outcome.result;
+}
+
+absl::Status configuration_state_machine::checkHeader(configuration_command const& command) const
+{
+    if (auto const fault = findSentenceFault(command.author))
+        return makeError(error_kind::InvalidArgument, "author: " + *fault);
+    if (auto const fault = findSentenceFault(command.reason))
+        return makeError(error_kind::InvalidArgument, "reason: " + *fault);
+    return absl::OkStatus();
+}
+
+configuration_state_machine::evaluation configuration_state_machine::evaluate(
+    configuration_command const& command) const
+{
+    if (auto const status = checkHeader(command); !status.ok())
+        return { refuse(status), nullptr, {} };
+    if (command.baseRevision > m_revision)
+        return { refuse(makeError(error_kind::FailedPrecondition,
+                     "base revision " + std::to_string(command.baseRevision) + " does not exist; the current one is "
+                         + std::to_string(m_revision))),
+            nullptr, {} };
+    if (command.baseRevision < m_revision) {
+        auto result = refuse(makeError(error_kind::Conflict,
+            "the configuration has changed since revision " + std::to_string(command.baseRevision)
+                + "; the current one is " + std::to_string(m_revision)));
+        result.difference = changesSince(command.baseRevision);
+        return { std::move(result), nullptr, {} };
+    }
+    auto assigned = changed(command);
+    if (!assigned.ok())
+        return { refuse(assigned.status()), nullptr, {} };
+    if (assigned->value == *m_configuration)
+        return { command_result { std::nullopt, "no change", m_revision, {} }, nullptr, {} };
+    configuration_difference const difference(*m_configuration, assigned->value);
+    return { command_result { std::nullopt, {}, m_revision + 1, boundedLines(difference.lines()) },
+        std::make_shared<configuration const>(std::move(assigned->value)), assigned->watermarks };
+}
+
+absl::StatusOr<assigned_configuration> configuration_state_machine::changed(configuration_command const& command) const
+{
+    auto const wanted
+        = std::visit([&](auto const& change) { return withChange(*m_configuration, change); }, command.change);
+    if (!wanted.ok())
+        return wanted.status();
+    return assignIdentifiers(*wanted, *m_configuration, m_watermarks);
+}
+
+command_result configuration_state_machine::refuse(absl::Status const& status) const
+{
+    return { errorKindOf(status), shortened(messageOf(status), maximumMessageLength), m_revision, {} };
+}
+
+void configuration_state_machine::addAuditEntry(configuration_command const& command, command_result const& result)
+{
+    m_audit.push_back({ m_nextAuditSequence++, auditedText(command.requestId), auditedText(command.author),
+        auditedText(command.reason), command.time, command.baseRevision, result });
+    while (m_audit.size() > m_limits.auditCapacity)
+        m_audit.pop_front();
+}
+
+command_result const* configuration_state_machine::findResult(std::string_view requestId) const
+{
+    auto const* record = m_requests.find(requestId);
+    return record ? &record->result : nullptr;
+}
+
+std::vector<audit_entry> configuration_state_machine::audit(uint64_t first, uint64_t last, size_t limit) const
+{
+    std::vector<audit_entry> entries;
+    auto const begin = std::lower_bound(m_audit.begin(), m_audit.end(), first,
+        [](auto const& entry, uint64_t value) { return entry.sequence < value; });
+    for (auto entry = begin; entry != m_audit.end() && entry->sequence <= last && entries.size() < limit; ++entry)
+        entries.push_back(*entry);
+    return entries;
+}
+
+std::pair<uint64_t, uint64_t> configuration_state_machine::auditRange() const
+{
+    return { m_audit.empty() ? m_nextAuditSequence : m_audit.front().sequence, m_nextAuditSequence };
+}
+
+std::vector<std::string> configuration_state_machine::changesSince(uint64_t base) const
+{
+    std::vector<std::string> lines;
+    uint64_t lastListed = base;
+    for (auto const& entry : m_audit) {
+        bool const changedRevision = entry.result.isAccepted() && entry.result.revision > entry.baseRevision;
+        if (!changedRevision || entry.result.revision <= base)
+            continue;
+        if (entry.result.revision > lastListed + 1)
+            lines.push_back("changes before revision " + std::to_string(entry.result.revision) + " are no longer kept");
+        lastListed = entry.result.revision;
+        auto const prefix = "revision " + std::to_string(lastListed) + " by " + entry.author + ": ";
+        for (auto const& line : entry.result.difference)
+            lines.push_back(prefix + line);
+    }
+    return boundedLines(std::move(lines));
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Configuration/zone_definition.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <Base/identifiers.h>
+#include <compare>
+#include <string>
+
+namespace bilberryyard {
+
+/// An availability zone of the configuration.
+struct zone_definition {
+    std::string name;
+    /// 0 until the state machine assigns one; an assigned number is never reused.
+    zone_id id;
+    auto operator<=>(zone_definition const&) const = default;
+};
+
+} // namespace bilberryyard
