--- a/Libraries/Configuration/configuration_checks.cpp
+++ b/Libraries/Configuration/configuration_checks.cpp
@@ -38,10 +38,8 @@
 
     fault checkName(std::string const& path, std::string const& name)
     {
-        if (name.empty() || name.size() > maximumNameLength || name.front() < 'a' || name.front() > 'z'
-            || !std::all_of(name.begin(), name.end(), isNameCharacter))
-            return configuration_fault { path,
-                "a name is 1 to 64 characters a-z, 0-9, '-' and '_', the first one a letter" };
+        if (auto found = findNameFault(name))
+            return configuration_fault { path, *std::move(found) };
         return std::nullopt;
     }
 
@@ -234,6 +232,14 @@
 
 } // namespace
 
+std::optional<std::string> findNameFault(std::string_view name)
+{
+    if (name.empty() || name.size() > maximumNameLength || name.front() < 'a' || name.front() > 'z'
+        || !std::all_of(name.begin(), name.end(), isNameCharacter))
+        return "a name is 1 to 64 characters a-z, 0-9, '-' and '_', the first one a letter";
+    return std::nullopt;
+}
+
 std::optional<std::string> findSentenceFault(std::string_view text)
 {
     if (text.find_first_not_of(" \t") == std::string_view::npos)
--- a/Libraries/Configuration/configuration_checks.h
+++ b/Libraries/Configuration/configuration_checks.h
@@ -20,6 +20,11 @@
 /// @return The first fault, or nothing.
 std::optional<configuration_fault> findConfigurationFault(configuration_parts const& parts);
 
+/// Checks the name of a zone, a service or a deployment.
+/// @param name The name.
+/// @return Why it is not allowed, or nothing.
+std::optional<std::string> findNameFault(std::string_view name);
+
 /// Checks a reason or an author.
 /// @param text The text.
 /// @return Why it is not allowed, or nothing: empty or blank, longer than 500 bytes, not clean text on one line.
