--- /dev/null
+++ b/Libraries/Consensus/consensus_settings.cpp
@@ -0,0 +1,26 @@
+#include <Consensus/consensus_settings.h>
+
+#include <Base/error_kind.h>
+
+namespace bilberryyard {
+
+absl::Status consensus_settings::validate() const
+{
+    auto const invalid = [](char const* message) { return makeError(error_kind::InvalidArgument, message); };
+    if (heartbeatInterval <= duration::zero())
+        return invalid("heartbeatInterval must be positive");
+    if (lease < 2 * heartbeatInterval)
+        return invalid("lease must be at least two heartbeat intervals");
+    // Two clocks may differ in rate by 10% without a lease outliving the followers' promise.
+    if (lease * 10 > electionTimeoutMinimum * 9)
+        return invalid("lease must be at most 90% of electionTimeoutMinimum");
+    if (electionTimeoutMaximum <= electionTimeoutMinimum)
+        return invalid("electionTimeoutMaximum must exceed electionTimeoutMinimum");
+    if (maximumAppendBytes == 0 || maximumInflightAppends == 0 || snapshotChunkBytes == 0 || maximumPayloadBytes == 0)
+        return invalid("message bounds must be positive");
+    if (maximumPendingProposals == 0 || snapshotInterval == 0)
+        return invalid("maximumPendingProposals and snapshotInterval must be positive");
+    return absl::OkStatus();
+}
+
+} // namespace bilberryyard
