--- a/Libraries/Routing/routing_view.h
+++ b/Libraries/Routing/routing_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Base/identifiers.h>
+#include <Base/monotonic_time.h>
 #include <Packet/flow_key.h>
 #include <Routing/bucket_table.h>
 #include <chrono>
@@ -65,6 +66,9 @@
 struct routing_view {
     routed_peer self;
     synchronisation state = synchronisation::Synchronised;
+    /// End of the peer lease. A host that resumes after a suspension may handle packets before its membership
+    /// duty notices, so the router itself treats a view as unsynchronised after this time.
+    monotonic_time synchronisedUntil = monotonic_time::max();
     /// Live entry hosts without this one, in ascending order of host.
     std::vector<routed_peer> peers;
     std::vector<service_endpoint> endpoints;
