Coordination: Add the coordinator of an entry host and its messages

Cause: membership, planner and router need one place that connects them without I/O. Change: balancer_coordinator, table_follower, witness_filler, settle_scanner, the protobuf schema with its codec, an HTTP client, and the processes of the emulator.

--- /dev/null
+++ b/Libraries/Coordination/coordinator_settings.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <Base/identifiers.h>
+#include <Base/monotonic_time.h>
+#include <Membership/peer_view.h>
+#include <Membership/server_directory.h>
+#include <Routing/planner_types.h>
+#include <Routing/routing_view.h>
+#include <chrono>
+#include <compare>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bilberryyard {
+
+/// A service as the coordinator needs it.
+struct coordinated_service {
+    service_id id;
+    std::string name;
+    std::vector<ip_address> addresses;
+    uint16_t port = 0;
+    ip_protocol protocol = ip_protocol::Tcp;
+    uint32_t bucketCount = 4096;
+    double weight = 1.0;
+    /// Upper bound on the limit that a server announces; 0 means none.
+    uint32_t connectionLimit = 0;
+    auto operator<=>(coordinated_service const&) const = default;
+};
+
+/// An exception on one backend server.
+struct server_override {
+    bool drain = false;
+    double weight = 1.0;
+    uint32_t connectionLimit = 0;
+    auto operator<=>(server_override const&) const = default;
+};
+
+/// The part of a configuration revision that the data plane acts on.
+struct coordinated_configuration {
+    uint64_t revision = 0;
+    std::vector<coordinated_service> services;
+    std::map<ip_endpoint, server_override> serverOverrides;
+    std::chrono::milliseconds flowIdleTimeout { 900'000 };
+    std::chrono::milliseconds datagramIdleTimeout { 30'000 };
+    planner_settings planner;
+    auto operator<=>(coordinated_configuration const&) const = default;
+};
+
+/// Settings of one host's coordinator.
+struct coordinator_settings {
+    routed_peer self;
+    zone_id zone;
+    /// Entry hosts of the deployment, this one included.
+    std::set<host_id> entryHosts;
+    uint64_t hashSeed = 0;
+    peer_settings peers;
+    directory_settings directory;
+    /// Heartbeats a second decide how fast a failure is noticed; five fit into 2 s with one of them lost.
+    duration heartbeatInterval = std::chrono::milliseconds { 400 };
+    /// Load reports need not be fresher than the announcements, which come every second.
+    duration recordInterval = std::chrono::milliseconds { 1'000 };
+    duration requestInterval = std::chrono::milliseconds { 200 };
+    /// One part of 100 entries of 10 bytes every 500 ms stays below 2 KB/s.
+    duration fillInterval = std::chrono::milliseconds { 500 };
+    size_t fillBatch = 100;
+    /// Buckets that are checked for settling in one step; the whole table of a service takes a few seconds.
+    uint32_t settleScan = 512;
+    auto operator<=>(coordinator_settings const&) const = default;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/CoordinationCodec/coordination_codec.cpp
@@ -0,0 +1,282 @@
+#include <CoordinationCodec/coordination_codec.h>
+
+#include <Base/error_kind.h>
+#include <CoordinationCodec/bucket_list_codec.h>
+#include <CoordinationCodec/membership_codec.h>
+#include <CoordinationCodec/table_codec.h>
+#include <limits>
+#include <map>
+
+namespace bilberryyard {
+
+namespace {
+
+    using body_type = decltype(coordination_message::body);
+
+    void encodeCursor(transfer_cursor const& cursor, messages::Cursor& message)
+    {
+        message.set_position(cursor.position);
+        message.set_has_last_hash(cursor.lastHash.has_value());
+        message.set_last_hash(cursor.lastHash.value_or(0));
+    }
+
+    transfer_cursor decodeCursor(messages::Cursor const& message)
+    {
+        transfer_cursor cursor { message.position(), std::nullopt };
+        if (message.has_last_hash())
+            cursor.lastHash = message.last_hash();
+        return cursor;
+    }
+
+    void encodeBody(heartbeat_message const& value, messages::CoordinationMessage& message)
+    {
+        *message.mutable_heartbeat() = encodeHeartbeat(value);
+    }
+
+    void encodeBody(records_message const& value, messages::CoordinationMessage& message)
+    {
+        *message.mutable_records() = encodeRecords(value);
+    }
+
+    void encodeBody(delta_message const& value, messages::CoordinationMessage& message)
+    {
+        *message.mutable_delta() = encodeDelta(value.delta);
+    }
+
+    void encodeBody(table_request const& value, messages::CoordinationMessage& message)
+    {
+        auto* request = message.mutable_table_request();
+        request->set_epoch(value.epoch);
+        for (auto const& held : value.held) {
+            auto* summary = request->add_held();
+            summary->set_service(held.service.value);
+            summary->set_digest(held.digest);
+            *summary->mutable_lineage() = encodeLineage(held.lineage);
+        }
+    }
+
+    void encodeBody(table_answer const& value, messages::CoordinationMessage& message)
+    {
+        auto* answer = message.mutable_table_answer();
+        *answer->mutable_planner() = encodePeer(value.planner);
+        answer->set_epoch(value.epoch);
+        for (auto const service : value.wanted)
+            answer->add_wanted(service.value);
+        for (auto const& confirmed : value.confirmed) {
+            auto* item = answer->add_confirmed();
+            item->set_service(confirmed.service.value);
+            item->set_version(confirmed.version);
+            *item->mutable_lineage() = encodeLineage(confirmed.lineage);
+        }
+        for (auto const& table : value.tables)
+            *answer->add_tables() = encodeTransfer(table);
+    }
+
+    void encodeBody(table_offer const& value, messages::CoordinationMessage& message)
+    {
+        auto* offer = message.mutable_table_offer();
+        for (auto const& table : value.tables)
+            *offer->add_tables() = encodeTransfer(table);
+    }
+
+    void encodeBody(fill_request const& value, messages::CoordinationMessage& message)
+    {
+        auto* request = message.mutable_fill_request();
+        request->set_service(value.service.value);
+        encodeBuckets(value.buckets, *request);
+        encodeCursor(value.cursor, *request->mutable_cursor());
+    }
+
+    void encodeBody(fill_answer const& value, messages::CoordinationMessage& message)
+    {
+        auto* answer = message.mutable_fill_answer();
+        answer->set_service(value.service.value);
+        encodeCursor(value.cursor, *answer->mutable_cursor());
+        encodeCursor(value.batch.next, *answer->mutable_next());
+        answer->set_done(value.batch.done);
+        std::map<server_id, uint32_t> indices;
+        for (auto const& flow : value.batch.flows) {
+            auto const [entry, inserted] = indices.emplace(flow.server, static_cast<uint32_t>(indices.size()));
+            if (inserted)
+                answer->add_servers(flow.server.value);
+            answer->add_hashes(flow.flowHash);
+            answer->add_choices(entry->second);
+        }
+    }
+
+    void encodeBody(settled_report const& value, messages::CoordinationMessage& message)
+    {
+        auto* report = message.mutable_settled();
+        report->set_service(value.service.value);
+        report->mutable_stamp()->set_counter(value.stamp.counter);
+        report->mutable_stamp()->set_author(value.stamp.author.value);
+        encodeBuckets(value.buckets, *report);
+    }
+
+    void encodeBody(filled_report const& value, messages::CoordinationMessage& message)
+    {
+        auto* report = message.mutable_filled();
+        report->set_service(value.service.value);
+        encodeBuckets(value.buckets, *report);
+    }
+
+    void encodeBody(leave_permission const&, messages::CoordinationMessage& message)
+    {
+        message.mutable_leave_permission();
+    }
+
+    absl::StatusOr<body_type> decodeTables(
+        google::protobuf::RepeatedPtrField<messages::TableTransfer> const& messages, std::vector<table_transfer>& tables)
+    {
+        for (auto const& item : messages) {
+            auto table = decodeTransfer(item);
+            if (!table.ok())
+                return table.status();
+            tables.push_back(*std::move(table));
+        }
+        return body_type {};
+    }
+
+    absl::StatusOr<body_type> decodeTableRequest(messages::TableRequest const& message)
+    {
+        table_request request { message.epoch(), {} };
+        for (auto const& item : message.held())
+            request.held.push_back({ service_id { item.service() }, item.digest(), decodeLineage(item.lineage()) });
+        return body_type { std::move(request) };
+    }
+
+    absl::StatusOr<body_type> decodeTableAnswer(messages::TableAnswer const& message)
+    {
+        table_answer answer { decodePeer(message.planner()), message.epoch(), {}, {}, {} };
+        for (auto const service : message.wanted())
+            answer.wanted.push_back(service_id { service });
+        for (auto const& item : message.confirmed())
+            answer.confirmed.push_back(
+                { service_id { item.service() }, item.version(), decodeLineage(item.lineage()) });
+        if (auto const tables = decodeTables(message.tables(), answer.tables); !tables.ok())
+            return tables.status();
+        return body_type { std::move(answer) };
+    }
+
+    absl::StatusOr<body_type> decodeTableOffer(messages::TableOffer const& message)
+    {
+        table_offer offer;
+        if (auto const tables = decodeTables(message.tables(), offer.tables); !tables.ok())
+            return tables.status();
+        return body_type { std::move(offer) };
+    }
+
+    absl::StatusOr<body_type> decodeFillRequest(messages::FillRequest const& message)
+    {
+        auto buckets = decodeBuckets(message);
+        if (!buckets.ok())
+            return buckets.status();
+        return body_type { fill_request {
+            service_id { message.service() }, *std::move(buckets), decodeCursor(message.cursor()) } };
+    }
+
+    absl::StatusOr<body_type> decodeFillAnswer(messages::FillAnswer const& message)
+    {
+        if (message.hashes_size() != message.choices_size())
+            return makeError(error_kind::InvalidArgument, "fill answer with unequal numbers of flows and servers");
+        fill_answer answer { service_id { message.service() }, decodeCursor(message.cursor()),
+            { {}, decodeCursor(message.next()), message.done() } };
+        for (int index = 0; index < message.hashes_size(); ++index) {
+            auto const choice = message.choices(index);
+            if (choice >= static_cast<uint32_t>(message.servers_size()))
+                return makeError(error_kind::InvalidArgument, "fill answer refers to a missing server");
+            answer.batch.flows.push_back(
+                { message.hashes(index), server_id { message.servers(static_cast<int>(choice)) } });
+        }
+        return body_type { std::move(answer) };
+    }
+
+    absl::StatusOr<body_type> decodeDeltaMessage(messages::TableDelta const& message, routed_peer sender)
+    {
+        auto delta = decodeDelta(message);
+        if (!delta.ok())
+            return delta.status();
+        return body_type { delta_message { sender, *std::move(delta) } };
+    }
+
+    absl::StatusOr<body_type> decodeSettled(messages::BucketReport const& message, routed_peer sender)
+    {
+        auto buckets = decodeBuckets(message);
+        if (!buckets.ok())
+            return buckets.status();
+        return body_type { settled_report { service_id { message.service() }, sender,
+            { message.stamp().counter(), host_id { message.stamp().author() } }, *std::move(buckets) } };
+    }
+
+    absl::StatusOr<body_type> decodeFilled(messages::BucketReport const& message, routed_peer sender)
+    {
+        auto buckets = decodeBuckets(message);
+        if (!buckets.ok())
+            return buckets.status();
+        return body_type { filled_report { service_id { message.service() }, sender, *std::move(buckets) } };
+    }
+
+    absl::StatusOr<body_type> decodeBody(messages::CoordinationMessage const& message, routed_peer sender)
+    {
+        using kind = messages::CoordinationMessage::BodyCase;
+        switch (message.body_case()) {
+        case kind::kHeartbeat:
+            return decodeHeartbeat(message.heartbeat(), sender);
+        case kind::kRecords:
+            return decodeRecords(message.records());
+        case kind::kDelta:
+            return decodeDeltaMessage(message.delta(), sender);
+        case kind::kTableRequest:
+            return decodeTableRequest(message.table_request());
+        case kind::kTableAnswer:
+            return decodeTableAnswer(message.table_answer());
+        case kind::kTableOffer:
+            return decodeTableOffer(message.table_offer());
+        case kind::kFillRequest:
+            return decodeFillRequest(message.fill_request());
+        case kind::kFillAnswer:
+            return decodeFillAnswer(message.fill_answer());
+        case kind::kSettled:
+            return decodeSettled(message.settled(), sender);
+        case kind::kFilled:
+            return decodeFilled(message.filled(), sender);
+        case kind::kLeavePermission:
+            return body_type { leave_permission {} };
+        case kind::BODY_NOT_SET:
+            break;
+        }
+        return makeError(error_kind::InvalidArgument, "coordination message without a known body");
+    }
+
+} // namespace
+
+coordination_codec::coordination_codec(uint32_t deployment)
+    : m_deployment(deployment)
+{
+}
+
+std::string coordination_codec::encode(coordination_message const& message) const
+{
+    messages::CoordinationMessage encoded;
+    encoded.set_deployment(m_deployment);
+    *encoded.mutable_sender() = encodePeer(message.sender);
+    std::visit([&encoded](auto const& body) { encodeBody(body, encoded); }, message.body);
+    return encoded.SerializeAsString();
+}
+
+absl::StatusOr<coordination_message> coordination_codec::decode(std::string_view bytes) const
+{
+    messages::CoordinationMessage encoded;
+    if (bytes.size() > static_cast<size_t>(std::numeric_limits<int>::max())
+        || !encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return makeError(error_kind::InvalidArgument, "malformed coordination message");
+    if (encoded.deployment() != m_deployment)
+        return makeError(error_kind::FailedPrecondition, "coordination message of another deployment");
+    auto const sender = decodePeer(encoded.sender());
+    auto body = decodeBody(encoded, sender);
+    if (!body.ok())
+        return body.status();
+    return coordination_message { sender, *std::move(body) };
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/CoordinationCodec/table_codec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <Coordination/coordination_message.h>
+#include <Messages/coordination.pb.h>
+#include <absl/status/statusor.h>
+
+namespace bilberryyard {
+
+/// Conversion of tables to and from their messages. Used inside this package only, because it exposes
+/// protobuf types.
+
+messages::Peer encodePeer(routed_peer peer);
+routed_peer decodePeer(messages::Peer const& message);
+
+messages::TableDelta encodeDelta(table_delta const& delta);
+absl::StatusOr<table_delta> decodeDelta(messages::TableDelta const& message);
+
+messages::Lineage encodeLineage(table_lineage const& lineage);
+table_lineage decodeLineage(messages::Lineage const& message);
+
+messages::TableTransfer encodeTransfer(table_transfer const& transfer);
+absl::StatusOr<table_transfer> decodeTransfer(messages::TableTransfer const& message);
+
+} // namespace bilberryyard
--- a/Libraries/Membership/server_directory.h
+++ b/Libraries/Membership/server_directory.h
@@ -91,6 +91,9 @@
     /// @return The server's own number; noServer for an unknown number.
     server_id canonical(server_id id) const;
 
+    /// @return The server behind each number, aliases included.
+    std::map<server_id, server_key> const& owners() const { return m_owners; }
+
     /// @return All entries, expired ones included, in ascending order of key.
     std::vector<directory_entry> entries() const;
 
--- a/Utilities/Emulator/backend_application.cpp
+++ b/Utilities/Emulator/backend_application.cpp
@@ -47,9 +47,9 @@
         auto const entry = m_feeds.find(connection);
         if (entry == m_feeds.end())
             continue;
-        auto& feed = entry->second;
-        output.push_back({ connection, feedUpdate(feed.request.id, feed.updates++), false });
-        m_schedule.emplace(now + feed.request.interval, connection);
+        auto& active = entry->second;
+        output.push_back({ connection, feedUpdate(active.request.id, active.updates++), false });
+        m_schedule.emplace(now + active.request.interval, connection);
     }
 }
 
--- /dev/null
+++ b/Utilities/Emulator/fabric_process.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <Http/http_client.h>
+#include <Kernel/duty_thread.h>
+#include <Packet/udp_packet_io.h>
+#include <absl/status/statusor.h>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace bilberryyard {
+
+/// A balancer as the fabric knows it.
+struct fabric_target {
+    ip_endpoint packets;
+    ip_endpoint http;
+    auto operator<=>(fabric_target const&) const = default;
+};
+
+struct fabric_settings {
+    ip_endpoint listen;
+    std::vector<fabric_target> targets;
+    uint64_t seed = 1;
+    auto operator<=>(fabric_settings const&) const = default;
+};
+
+/// The emulated fabric: sprays each packet to a random balancer that answers the readiness probe.
+class fabric_process {
+public:
+    static absl::StatusOr<std::unique_ptr<fabric_process>> create(fabric_settings const& settings);
+
+    /// Sprays packets until a stop is requested.
+    void run();
+
+private:
+    fabric_process(fabric_settings const& settings, udp_packet_io io);
+    void probe(std::stop_token const& stopToken);
+    bool isReady(fabric_target const& target) const;
+    void refreshReadyTargets();
+    void sprayBatch(packet_batch& batch);
+
+    fabric_settings m_settings;
+    udp_packet_io m_io;
+    http_client m_client;
+    std::mt19937_64 m_random;
+    std::vector<std::atomic<bool>> m_ready;
+    std::vector<ip_endpoint> m_readyTargets;
+    uint64_t m_dropped = 0;
+    std::unique_ptr<duty_thread> m_prober;
+};
+
+} // namespace bilberryyard
