--- a/Libraries/Routing/bucket_table.cpp
+++ b/Libraries/Routing/bucket_table.cpp
@@ -1,5 +1,6 @@
 #include <Routing/bucket_table.h>
 
+#include <Base/hashing.h>
 #include <algorithm>
 #include <map>
 #include <tuple>
@@ -31,19 +32,20 @@
         std::map<witness_set, uint16_t> m_indices;
     };
 
-    bool hasGroup(witness_set const& set, witness_group const& group)
-    {
-        return std::find(set.groups.begin(), set.groups.begin() + set.count, group) != set.groups.begin() + set.count;
-    }
+    /// Above this number of sets, sets that no bucket uses any more are dropped.
+    constexpr size_t tolerableWitnessSets = 1024;
 
-    witness_set unionOf(witness_set const& first, witness_set const& second)
+    bool isCompleteIn(witness_set const& set, witness const& candidate)
     {
-        witness_set result = first;
-        for (uint8_t index = 0; index < second.count; ++index) {
-            if (result.count < maximumWitnessGroups && !hasGroup(result, second.groups[index]))
-                result.groups[result.count++] = second.groups[index];
+        for (uint8_t group = 0; group < set.count; ++group) {
+            for (uint8_t index = 0; index < set.groups[group].count; ++index) {
+                auto const& value = set.groups[group].witnesses[index];
+                if (value.host == candidate.host && value.incarnation == candidate.incarnation
+                    && value.state == witness_state::Complete)
+                    return true;
+            }
         }
-        return result;
+        return false;
     }
 
     witness_set trackedWitnesses(bucket_table const& table, bucket const& value)
@@ -80,6 +82,8 @@
             result.m_buckets[index] = { change.current, change.base, change.phase, set, change.stamp };
         }
     }
+    if (result.m_witnessSets.size() > tolerableWitnessSets)
+        result.dropUnusedWitnessSets();
     return result;
 }
 
@@ -96,9 +100,16 @@
         auto const theirsSet = trackedWitnesses(other, theirs);
         bool const theirsWins = precedes(mine, mineSet, theirs, theirsSet);
         auto value = theirsWins ? theirs : mine;
-        // A winner that settled has no explicit entries left anywhere, so the loser's groups are void.
+        if (value.base == noServer)
+            value.base = theirsWins ? mine.base : theirs.base;
+        auto const& loser = theirsWins ? mine : theirs;
+        // A side that first assigned the bucket without the full view has flows that no settling covered.
+        if (loser.phase == bucket_phase::Tracked && loser.base == noServer && loser.current != value.current)
+            value.phase = bucket_phase::Tracked;
+        // Otherwise a winner that settled has no explicit entries left anywhere, so the loser's groups are void.
         if (value.phase == bucket_phase::Tracked)
-            value.witnessSet = sets.indexOf(theirsWins ? unionOf(theirsSet, mineSet) : unionOf(mineSet, theirsSet));
+            value.witnessSet
+                = sets.indexOf(theirsWins ? joinWitnesses(theirsSet, mineSet) : joinWitnesses(mineSet, theirsSet));
         else
             value.witnessSet = 0;
         result.m_buckets[index] = value;
@@ -106,6 +117,55 @@
     return result;
 }
 
+witness_set bucket_table::joinWitnesses(witness_set const& first, witness_set const& second)
+{
+    witness_set result = first;
+    for (uint8_t index = 0; index < second.count; ++index) {
+        witness_group rest;
+        for (uint8_t position = 0; position < second.groups[index].count; ++position) {
+            auto const& value = second.groups[index].witnesses[position];
+            if (value.state == witness_state::Complete && !isCompleteIn(result, value))
+                rest.witnesses[rest.count++] = value;
+        }
+        // FIXME: After more than maximumWitnessGroups partitions without a settled state in between, the
+        // oldest groups are lost.
+        if (rest.count > 0 && result.count < maximumWitnessGroups)
+            result.groups[result.count++] = rest;
+    }
+    return result;
+}
+
+uint64_t bucket_table::digest() const
+{
+    uint64_t result = hashPair(m_service.value, m_buckets.size());
+    for (auto const& value : m_buckets) {
+        uint64_t const servers = uint64_t { value.current.value } << 32 | value.base.value;
+        uint64_t const stamp = hashPair(value.stamp.counter, value.stamp.author.value);
+        result = hashPair(hashPair(result, servers), hashPair(stamp, static_cast<uint64_t>(value.phase)));
+        if (value.phase == bucket_phase::Stable)
+            continue;
+        auto const& set = m_witnessSets[value.witnessSet];
+        for (uint8_t group = 0; group < set.count; ++group) {
+            result = hashPair(result, group);
+            for (uint8_t index = 0; index < set.groups[group].count; ++index) {
+                auto const& member = set.groups[group].witnesses[index];
+                uint64_t const peer = uint64_t { member.host.value } << 32 | member.incarnation;
+                result = hashPair(hashPair(result, peer), static_cast<uint64_t>(member.state));
+            }
+        }
+    }
+    return result;
+}
+
+void bucket_table::dropUnusedWitnessSets()
+{
+    std::vector<witness_set> const sets = std::move(m_witnessSets);
+    m_witnessSets.assign(1, {});
+    witness_set_index indices(m_witnessSets);
+    for (auto& value : m_buckets)
+        value.witnessSet = value.phase == bucket_phase::Tracked ? indices.indexOf(sets[value.witnessSet]) : 0;
+}
+
 table_delta bucket_table::snapshot() const
 {
     using change_key = std::tuple<server_id, server_id, bucket_phase, uint16_t, table_stamp>;
--- a/Libraries/Routing/bucket_table.h
+++ b/Libraries/Routing/bucket_table.h
@@ -52,17 +52,34 @@
     /// @return The new table.
     bucket_table withDelta(table_delta const& delta) const;
 
-    /// Merges the table of the other side of a healed partition (docs/design.md section 3.3).
+    /// Merges the table of the other side of a healed partition (docs/design.md section 3.3). Per bucket
+    /// the higher stamp decides; the other side's witness groups follow the winner's, without witnesses
+    /// that the winner lists as complete already. A bucket that one side assigned without any base takes
+    /// the base of the other side.
     /// @param other The other side's table of the same service and size.
     /// @return The merged table; merging is commutative and idempotent.
     bucket_table mergedWith(bucket_table const& other) const;
 
+    /// Appends the witness groups of another side. A witness that is complete in the first set already is
+    /// left out, because its flow table holds its entries of both sides and asking it twice is useless.
+    /// Filling roles of the second set end.
+    /// @param first The groups that come first.
+    /// @param second The groups to append.
+    /// @return The joined set.
+    static witness_set joinWitnesses(witness_set const& first, witness_set const& second);
+
     /// @return The whole table as one delta with the table's version, for a host that joins late.
     table_delta snapshot() const;
 
+    /// @return A hash of the contents without the version, equal on hosts whose buckets and witnesses are
+    ///     equal, however they got there.
+    uint64_t digest() const;
+
     bool operator==(bucket_table const&) const = default;
 
 private:
+    void dropUnusedWitnessSets();
+
     service_id m_service;
     uint64_t m_version = 0;
     std::vector<bucket> m_buckets;
--- /dev/null
+++ b/Libraries/Routing/service_planner.cpp
@@ -0,0 +1,400 @@
+#include <Routing/service_planner.h>
+
+#include <Routing/delta_builder.h>
+#include <Routing/move_selector.h>
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace bilberryyard {
+
+namespace {
+
+    witness_set witnessesOf(bucket_table const& table, uint32_t index)
+    {
+        auto const& value = table.at(index);
+        return value.phase == bucket_phase::Tracked ? table.witnessesOf(value) : witness_set {};
+    }
+
+    bool isSameState(
+        bucket const& first, witness_set const& firstSet, bucket const& second, witness_set const& secondSet)
+    {
+        return std::tie(first.current, first.base, first.phase, first.stamp, firstSet)
+            == std::tie(second.current, second.base, second.phase, second.stamp, secondSet);
+    }
+
+    uint64_t highestCounterOf(bucket_table const& table)
+    {
+        uint64_t highest = 0;
+        for (uint32_t index = 0; index < table.bucketCount(); ++index)
+            highest = std::max(highest, table.at(index).stamp.counter);
+        return highest;
+    }
+
+} // namespace
+
+service_planner::service_planner(
+    planner_settings const& settings, routed_peer self, service_traffic traffic, replicated_table const& start)
+    : m_settings(settings)
+    , m_self(self)
+    , m_traffic(traffic)
+    , m_table(start.table)
+    , m_lineage(start.lineage)
+    , m_shares(settings)
+    , m_memory(start.table.bucketCount())
+    , m_highestCounter(highestCounterOf(start.table))
+{
+    // Above every version of this planner's earlier reigns, so that an old acknowledgement proves nothing.
+    uint64_t version = m_table.version();
+    for (auto const& [planner, last] : m_lineage.versions)
+        version = std::max(version, last);
+    m_table = m_table.withDelta({ m_table.service(), version, {} });
+    for (auto& memory : m_memory)
+        memory.trackedAt = memory.changedAt = version;
+}
+
+void service_planner::offer(replicated_table const& other)
+{
+    if (other.table.service() != m_table.service() || other.table.bucketCount() != m_table.bucketCount())
+        return;
+    if (m_lineage.covers(other.lineage))
+        return;
+    bool const isSuccessor = other.lineage.covers(m_lineage);
+    auto const merged = isSuccessor ? other.table : m_table.mergedWith(other.table);
+    table_delta rebuilt { m_table.service(), m_table.version(), {} };
+    for (uint32_t index = 0; index < m_table.bucketCount(); ++index) {
+        auto const& mine = m_table.at(index);
+        auto const mineSet = witnessesOf(m_table, index);
+        auto const theirsSet = witnessesOf(other.table, index);
+        auto value = merged.at(index);
+        auto set = witnessesOf(merged, index);
+        if (value.phase == bucket_phase::Tracked) {
+            // The own group stays first: hosts of this side that have not applied the merge yet still send
+            // new flows to it.
+            if (!isSuccessor && mine.phase == bucket_phase::Tracked)
+                set = bucket_table::joinWitnesses(mineSet, theirsSet);
+            // Hosts of this side still treat the bucket as stable, so it goes through phase one here too.
+            if (mine.phase == bucket_phase::Stable && mine.current != noServer && value.current != value.base) {
+                m_memory[index].destination = value.current;
+                value.current = value.base;
+            }
+        }
+        if (!isSameState(mine, mineSet, value, set))
+            replace(index, value, set, rebuilt);
+    }
+    m_highestCounter = std::max(m_highestCounter, highestCounterOf(other.table));
+    m_table = m_table.withDelta(rebuilt);
+    m_lineage = m_lineage.joinedWith(other.lineage);
+}
+
+void service_planner::replace(uint32_t index, bucket value, witness_set const& witnesses, table_delta& rebuilt)
+{
+    m_memory[index].isMerged = true;
+    m_settled.erase(index);
+    auto const stamp = std::max(value.stamp, m_table.at(index).stamp);
+    rebuilt.changes.push_back({ value.current, value.base, value.phase, witnesses, stamp, { index } });
+}
+
+void service_planner::settled(settled_report const& report)
+{
+    for (auto const index : report.buckets) {
+        if (index >= m_table.bucketCount())
+            continue;
+        auto const& value = m_table.at(index);
+        if (value.phase == bucket_phase::Tracked && value.stamp == report.stamp && !m_memory[index].isMerged)
+            m_settled[index].insert(report.reporter);
+    }
+}
+
+void service_planner::filled(filled_report const& report)
+{
+    for (auto const index : report.buckets) {
+        if (index >= m_table.bucketCount())
+            continue;
+        auto const set = witnessesOf(m_table, index);
+        if (witness_selector::completed(set, report.reporter) != set)
+            m_filled[index].insert(report.reporter);
+    }
+}
+
+void service_planner::plan(planner_input const& input)
+{
+    readInput(input);
+    if (mayAssign())
+        moveToQuotas();
+    auto const& sets = m_table.witnessSets();
+    std::vector<bool> repairs(sets.size());
+    for (size_t index = 0; index < sets.size(); ++index)
+        repairs[index] = m_selector->needsRepair(sets[index]);
+    m_proposals.clear();
+    for (uint32_t index = 0; index < m_table.bucketCount(); ++index) {
+        if (auto change = propose(index, repairs))
+            m_proposals.push_back(*change);
+    }
+    // Equal states next to each other keep a delta that the budget cuts off small.
+    std::sort(m_proposals.begin(), m_proposals.end(), [](proposal const& first, proposal const& second) {
+        return std::tie(first.urgency, first.value.current, first.witnesses, first.index)
+            < std::tie(second.urgency, second.value.current, second.witnesses, second.index);
+    });
+    noteLeavingHosts(input);
+}
+
+std::optional<table_delta> service_planner::build(change_urgency least, uint64_t byteLimit)
+{
+    table_stamp const stamp { m_highestCounter + 1, m_self.host };
+    delta_builder builder(m_table.service(), m_table.version() + 1, stamp);
+    size_t count = 0;
+    for (; count < m_proposals.size() && m_proposals[count].urgency <= least; ++count) {
+        auto const& change = m_proposals[count];
+        if (builder.bytes() + builder.costOf(change.value, change.witnesses, change.index) > byteLimit)
+            break;
+        builder.add(change.value, change.witnesses, change.index);
+    }
+    if (count == 0)
+        return std::nullopt;
+    auto const end = m_proposals.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<proposal> const published(m_proposals.begin(), end);
+    m_proposals.erase(m_proposals.begin(), end);
+    auto delta = builder.build();
+    apply(delta, published);
+    return delta;
+}
+
+bool service_planner::isReleased(host_id host) const
+{
+    auto const entry = m_leaving.find(host);
+    return entry != m_leaving.end() && entry->second && isAcknowledged(*entry->second);
+}
+
+void service_planner::readInput(planner_input const& input)
+{
+    auto const service = m_table.service();
+    m_now = input.now;
+    auto hosts = input.hosts;
+    m_acknowledged = m_table.version();
+    std::set<host_id> live;
+    for (auto& host : hosts) {
+        live.insert(host.peer.host);
+        if (host.peer.host == m_self.host) {
+            host.acknowledged[service] = m_table.version();
+            continue;
+        }
+        auto const version = host.acknowledged.find(service);
+        if (version == host.acknowledged.end())
+            m_acknowledged.reset();
+        else if (m_acknowledged)
+            m_acknowledged = std::min(*m_acknowledged, version->second);
+    }
+    m_isFullView = std::includes(live.begin(), live.end(), input.configuredHosts.begin(), input.configuredHosts.end());
+    // A report must not wait for the end of a partition: a retry may add an entry meanwhile. Witnesses repeat it.
+    if (!m_isFullView)
+        m_settled.clear();
+    m_selector.emplace(service, m_settings, hosts, input.configuredHosts);
+    m_servers.clear();
+    if (auto const servers = input.servers.find(service); servers != input.servers.end()) {
+        for (auto const& server : servers->second)
+            m_servers.emplace(server.id, server);
+    }
+}
+
+server_id service_planner::ownerOf(uint32_t index) const
+{
+    auto const destination = m_memory[index].destination;
+    return destination != noServer ? destination : m_table.at(index).current;
+}
+
+bool service_planner::accepts(server_id server) const
+{
+    auto const entry = m_servers.find(server);
+    return entry != m_servers.end() && entry->second.condition == server_condition::Accepting;
+}
+
+bool service_planner::mayAssign()
+{
+    bool const hasServer
+        = std::any_of(m_servers.begin(), m_servers.end(), [&](auto const& item) { return accepts(item.first); });
+    if (!hasServer)
+        return false;
+    if (!m_firstServerAt)
+        m_firstServerAt = m_now;
+    if (m_now - *m_firstServerAt >= m_settings.firstAssignmentDelay)
+        return true;
+    for (uint32_t index = 0; index < m_table.bucketCount(); ++index) {
+        if (m_table.at(index).current != noServer)
+            return true;
+    }
+    return false;
+}
+
+void service_planner::moveToQuotas()
+{
+    std::vector<server_id> owners(m_table.bucketCount());
+    std::map<server_id, uint32_t> counts;
+    for (uint32_t index = 0; index < owners.size(); ++index) {
+        if (!accepts(m_memory[index].destination))
+            m_memory[index].destination = noServer;
+        owners[index] = ownerOf(index);
+        ++counts[owners[index]];
+    }
+    std::vector<planner_server> servers;
+    for (auto const& [id, server] : m_servers)
+        servers.push_back(server);
+    auto const quotas = m_shares.quotas(servers, counts, m_table.bucketCount(), m_now);
+    if (quotas.empty())
+        return;
+    double const rate = m_table.bucketCount() * m_settings.movesPerMillePerSecond / 1000.0;
+    double const elapsed = m_previousPlan ? std::chrono::duration<double>(m_now - *m_previousPlan).count() : 1.0;
+    m_moveAllowance = std::min(rate, m_moveAllowance + rate * elapsed);
+    m_previousPlan = m_now;
+    move_selector selector(m_table, owners, quotas, *m_selector);
+    for (auto const& move : selector.forcedMoves())
+        direct(move.index, move.server);
+    auto const moves = selector.balancingMoves(static_cast<uint32_t>(m_moveAllowance));
+    for (auto const& move : moves)
+        direct(move.index, move.server);
+    m_moveAllowance -= static_cast<double>(moves.size());
+}
+
+void service_planner::direct(uint32_t index, server_id server)
+{
+    m_memory[index].destination = server == m_table.at(index).current ? noServer : server;
+}
+
+std::optional<service_planner::proposal> service_planner::propose(
+    uint32_t index, std::vector<bool> const& repairs) const
+{
+    proposal change { change_urgency::Settle, index, m_table.at(index), witnessesOf(m_table, index) };
+    bool isChanged = false;
+    if (m_memory[index].isMerged) {
+        change.urgency = change_urgency::Urgent;
+        isChanged = true;
+    }
+    if (change.value.phase == bucket_phase::Tracked)
+        proposeWitnesses(change, isChanged, repairs);
+    proposeServer(change, isChanged);
+    if (!isChanged && maySettle(index))
+        proposeSettling(change, isChanged);
+    if (!isChanged)
+        return std::nullopt;
+    return change;
+}
+
+void service_planner::proposeWitnesses(proposal& change, bool& isChanged, std::vector<bool> const& repairs) const
+{
+    auto set = change.witnesses;
+    if (auto const filled = m_filled.find(change.index); filled != m_filled.end()) {
+        for (auto const& reporter : filled->second)
+            set = witness_selector::completed(set, reporter);
+    }
+    if (set != change.witnesses || repairs[m_table.at(change.index).witnessSet]) {
+        if (m_selector->hasLostRecordingGroup(set))
+            change.urgency = change_urgency::Urgent;
+        set = m_selector->repaired(set, change.index);
+    }
+    if (set == change.witnesses)
+        return;
+    change.witnesses = set;
+    change.urgency = std::min(change.urgency, change_urgency::Repair);
+    isChanged = true;
+}
+
+void service_planner::proposeServer(proposal& change, bool& isChanged) const
+{
+    auto const& memory = m_memory[change.index];
+    auto& value = change.value;
+    if (memory.destination == noServer || memory.isMerged)
+        return;
+    bool const isForced = !accepts(value.current);
+    if (value.phase == bucket_phase::Tracked) {
+        // Phase two: until every live host relays, some hosts would still send new flows to the old server.
+        if (!isAcknowledged(memory.trackedAt))
+            return;
+        value.current = memory.destination;
+    } else if (value.current != noServer) {
+        value.phase = bucket_phase::Tracked;
+        change.witnesses = m_selector->select(change.index);
+    } else if (m_traffic == service_traffic::Stream && m_isFullView && isAcknowledged(memory.changedAt)) {
+        value.current = value.base = memory.destination;
+    } else {
+        // Another side of a partition may assign the bucket too, so the base stays open.
+        value.current = memory.destination;
+        value.phase = bucket_phase::Tracked;
+        change.witnesses = m_selector->select(change.index);
+    }
+    change.urgency = std::min(change.urgency, isForced ? change_urgency::Urgent : change_urgency::Balance);
+    isChanged = true;
+}
+
+bool service_planner::maySettle(uint32_t index) const
+{
+    auto const& value = m_table.at(index);
+    auto const& memory = m_memory[index];
+    if (m_traffic != service_traffic::Stream || value.phase != bucket_phase::Tracked || !m_isFullView)
+        return false;
+    if (memory.isMerged || memory.destination != noServer || !isAcknowledged(memory.changedAt))
+        return false;
+    auto const reports = m_settled.find(index);
+    if (reports == m_settled.end() || !accepts(value.current))
+        return false;
+    auto const& set = m_table.witnessesOf(value);
+    for (uint8_t group = 0; group < set.count; ++group) {
+        for (uint8_t position = 0; position < set.groups[group].count; ++position) {
+            auto const& member = set.groups[group].witnesses[position];
+            if (member.state == witness_state::Complete
+                && !reports->second.contains({ member.host, member.incarnation }))
+                return false;
+        }
+    }
+    return true;
+}
+
+void service_planner::proposeSettling(proposal& change, bool& isChanged) const
+{
+    // The base changes first, while every host still relays: a host that treats the bucket as stable sends
+    // new flows past the witnesses, and these must not resolve them to the old base.
+    if (change.value.base != change.value.current) {
+        change.value.base = change.value.current;
+    } else {
+        change.value.phase = bucket_phase::Stable;
+        change.witnesses = {};
+    }
+    isChanged = true;
+}
+
+void service_planner::apply(table_delta const& delta, std::vector<proposal> const& published)
+{
+    for (auto const& change : published) {
+        auto& memory = m_memory[change.index];
+        bool const wasTracked = m_table.at(change.index).phase == bucket_phase::Tracked && !memory.isMerged;
+        if (!wasTracked)
+            memory.trackedAt = delta.version;
+        memory.changedAt = delta.version;
+        memory.isMerged = false;
+        if (memory.destination == change.value.current)
+            memory.destination = noServer;
+        m_settled.erase(change.index);
+        m_filled.erase(change.index);
+    }
+    ++m_highestCounter;
+    m_table = m_table.withDelta(delta);
+    m_lineage.versions[m_self] = delta.version;
+}
+
+void service_planner::noteLeavingHosts(planner_input const& input)
+{
+    std::map<host_id, std::optional<uint64_t>> leaving;
+    for (auto const& host : input.hosts) {
+        if (!host.isLeaving)
+            continue;
+        bool isNamed = false;
+        for (uint32_t index = 0; index < m_table.bucketCount() && !isNamed; ++index)
+            isNamed = witness_selector::names(witnessesOf(m_table, index), host.peer.host);
+        auto const known = m_leaving.find(host.peer.host);
+        auto& since = leaving[host.peer.host];
+        if (!isNamed)
+            since = known != m_leaving.end() && known->second ? known->second : m_table.version();
+    }
+    m_leaving = std::move(leaving);
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Routing/share_calculator.cpp
@@ -0,0 +1,136 @@
+#include <Routing/share_calculator.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace bilberryyard {
+
+namespace {
+
+    /// Weights outside this range would give a server nearly all buckets or none.
+    constexpr double minimumWeight = 0.01;
+    constexpr double maximumWeight = 100.0;
+    /// A server that was reduced for its connections gets one step of its share back in this time.
+    constexpr duration limitRecovery = std::chrono::seconds { 5 };
+    constexpr double limitStep = 0.2;
+
+    /// 1 below 90% of the limit, 0 from 100% on, in steps between (docs/design.md section 3.4).
+    double factorForConnections(planner_server const& server)
+    {
+        if (server.connectionLimit == 0)
+            return 1.0;
+        double const used = static_cast<double>(server.openConnections) / server.connectionLimit;
+        if (used < 0.9)
+            return 1.0;
+        return std::max(0.0, std::ceil((1.0 - used) * 40.0)) * limitStep;
+    }
+
+    double clampedWeight(double weight)
+    {
+        return std::isfinite(weight) ? std::clamp(weight, minimumWeight, maximumWeight) : 1.0;
+    }
+
+} // namespace
+
+share_calculator::share_calculator(planner_settings const& settings)
+    : m_settings(settings)
+{
+}
+
+std::map<server_id, uint32_t> share_calculator::quotas(std::vector<planner_server> const& servers,
+    std::map<server_id, uint32_t> const& counts, uint32_t bucketCount, monotonic_time now)
+{
+    auto const weights = effectiveWeights(servers, counts, bucketCount, now);
+    double total = 0;
+    for (auto const& [id, weight] : weights)
+        total += weight;
+    std::map<server_id, uint32_t> result;
+    if (total <= 0)
+        return result;
+    struct remainder {
+        bool keepsExtra;
+        double fraction;
+        server_id id;
+    };
+    std::vector<remainder> remainders;
+    uint32_t assigned = 0;
+    for (auto const& [id, weight] : weights) {
+        double const exact = weight / total * bucketCount;
+        auto const whole = static_cast<uint32_t>(exact);
+        auto const count = counts.find(id);
+        result[id] = whole;
+        assigned += whole;
+        if (weight > 0)
+            remainders.push_back({ count != counts.end() && count->second > whole, exact - whole, id });
+    }
+    std::sort(remainders.begin(), remainders.end(), [](remainder const& first, remainder const& second) {
+        return std::tuple(!first.keepsExtra, -first.fraction, first.id)
+            < std::tuple(!second.keepsExtra, -second.fraction, second.id);
+    });
+    for (size_t index = 0; assigned < bucketCount; ++index, ++assigned)
+        ++result[remainders[index % remainders.size()].id];
+    return result;
+}
+
+std::map<server_id, double> share_calculator::effectiveWeights(std::vector<planner_server> const& servers,
+    std::map<server_id, uint32_t> const& counts, uint32_t bucketCount, monotonic_time now)
+{
+    std::erase_if(m_limits, [&](auto const& item) {
+        return std::none_of(
+            servers.begin(), servers.end(), [&](planner_server const& server) { return server.id == item.first; });
+    });
+    std::map<server_id, double> full;
+    double total = 0;
+    for (auto const& server : servers) {
+        if (server.condition != server_condition::Accepting)
+            continue;
+        full[server.id] = clampedWeight(server.weight) * limitFactor(server, now);
+        total += full[server.id];
+    }
+    if (total <= 0) {
+        // Every server is full. The primary refuses what exceeds a limit; the buckets stay spread.
+        for (auto& [id, weight] : full)
+            weight = 1.0;
+        return full;
+    }
+    for (auto const& server : servers) {
+        auto const entry = full.find(server.id);
+        if (entry == full.end() || entry->second <= 0)
+            continue;
+        // A cold start limits growth; it never takes away what a server already has, for example from its
+        // part in the first assignment of a service. Whole steps only: the share depends on the factor, and
+        // an exact factor would let it creep up by a bucket at a time.
+        auto const count = counts.find(server.id);
+        double const held = count == counts.end() ? 0.0 : count->second * total / entry->second / bucketCount;
+        double const steps = std::max(m_settings.coldStartSteps, 1U);
+        entry->second *= std::min(1.0, std::max(std::round(held * steps) / steps, coldStartFactor(server, now)));
+    }
+    return full;
+}
+
+double share_calculator::limitFactor(planner_server const& server, monotonic_time now)
+{
+    double const wanted = factorForConnections(server);
+    auto& state = m_limits.try_emplace(server.id, limit_state { 1.0, now }).first->second;
+    if (wanted <= state.factor) {
+        if (wanted < state.factor || wanted < 1.0)
+            state.changedAt = now;
+        state.factor = wanted;
+    } else if (now - state.changedAt >= limitRecovery) {
+        state.factor = std::min(wanted, state.factor + limitStep);
+        state.changedAt = now;
+    }
+    return state.factor;
+}
+
+double share_calculator::coldStartFactor(planner_server const& server, monotonic_time now) const
+{
+    if (m_settings.coldStart <= duration::zero() || m_settings.coldStartSteps == 0)
+        return 1.0;
+    auto const elapsed = std::max(duration::zero(), now - server.acceptingSince);
+    double const steps = m_settings.coldStartSteps;
+    double const reached = std::floor(steps * static_cast<double>(elapsed.count()) / m_settings.coldStart.count());
+    return std::min(1.0, (1.0 + reached) / steps);
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Tests/Routing/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE Routing
+#include <boost/test/unit_test.hpp>
