--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -18,6 +18,9 @@
         events::serverLeaseExpired,
         events::serverDraining,
         events::configurationInForce,
+        events::configurationRefused,
+        events::configurationNotSaved,
+        events::savedConfigurationDamaged,
         events::httpListenFailed,
     };
 
--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -35,6 +35,9 @@
     inline constexpr log_event serverLeaseExpired { 401, log_severity::Warning, "server_lease_expired" };
     inline constexpr log_event serverDraining { 402, log_severity::Information, "server_draining" };
     inline constexpr log_event configurationInForce { 500, log_severity::Information, "configuration_in_force" };
+    inline constexpr log_event configurationRefused { 501, log_severity::Error, "configuration_refused" };
+    inline constexpr log_event configurationNotSaved { 502, log_severity::Warning, "configuration_not_saved" };
+    inline constexpr log_event savedConfigurationDamaged { 503, log_severity::Warning, "saved_configuration_damaged" };
     inline constexpr log_event httpListenFailed { 700, log_severity::Error, "http_listen_failed" };
 } // namespace events
 
--- a/Libraries/Configuration/daemon_setting_key.cpp
+++ b/Libraries/Configuration/daemon_setting_key.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::array<daemon_setting_key, 23> keys { {
+    constexpr std::array<daemon_setting_key, 24> keys { {
         { "deployment", "yes",
             "Name of the deployment; the seed of the flow hash is derived from it, so it is the same on "
             "every host and never changes." },
@@ -24,6 +24,7 @@
         { "balancer.packet", "yes", "Address and UDP port at which packets from the fabric arrive." },
         { "balancer.relay", "yes", "Address and UDP port at which packets relayed by peers arrive." },
         { "balancer.peer", "yes", "Address and TCP port for messages from peers." },
+        { "balancer.caller_gateway", "yes", "Address and UDP port to which rejections for callers are sent." },
         { "control", "role control", "Sockets of the role control." },
         { "control.peer", "yes", "Address and TCP port for messages from other members of the replicated log." },
         { "control.distribution", "yes", "Address and TCP port at which balancers ask for configuration." },
--- a/Libraries/Configuration/daemon_settings.cpp
+++ b/Libraries/Configuration/daemon_settings.cpp
@@ -221,6 +221,7 @@
                 reader.address("packet", m_settings.balancer->packet);
                 reader.address("relay", m_settings.balancer->relay);
                 reader.address("peer", m_settings.balancer->peer);
+                reader.address("caller_gateway", m_settings.balancer->callerGateway);
             }
             if (auto const place = section("control", m_hasControl)) {
                 member_reader reader(*place, "control", m_status);
--- a/Libraries/Configuration/daemon_settings.h
+++ b/Libraries/Configuration/daemon_settings.h
@@ -19,6 +19,8 @@
     endpoint packet;
     endpoint relay;
     endpoint peer;
+    /// Where packets from the system to callers are sent.
+    endpoint callerGateway;
     auto operator<=>(balancer_sockets const&) const = default;
 };
 
--- a/Libraries/Coordination/balancer_coordinator.h
+++ b/Libraries/Coordination/balancer_coordinator.h
@@ -82,6 +82,10 @@
     uint64_t configurationRevision() const { return m_configuration.revision; }
     coordinated_configuration const& configuration() const { return m_configuration; }
     std::map<service_id, replicated_table> const& tables() const { return m_follower.tables(); }
+    std::map<service_id, std::shared_ptr<bucket_table const>> const& sharedTables() const
+    {
+        return m_follower.sharedTables();
+    }
     /// @param now The time.
     /// @return One row for each live entry host, this one first.
     std::vector<host_status> hosts(monotonic_time now) const;
--- a/Libraries/Coordination/coordinator_settings.h
+++ b/Libraries/Coordination/coordinator_settings.h
@@ -4,6 +4,7 @@
 #include <Base/monotonic_time.h>
 #include <Membership/peer_view.h>
 #include <Membership/server_directory.h>
+#include <Packet/ip_endpoint.h>
 #include <Routing/planner_types.h>
 #include <Routing/routing_view.h>
 #include <chrono>
@@ -41,6 +42,7 @@
 struct coordinated_configuration {
     uint64_t revision = 0;
     std::vector<coordinated_service> services;
+    std::map<std::string, zone_id> zones;
     std::map<ip_endpoint, server_override> serverOverrides;
     std::chrono::milliseconds flowIdleTimeout { 900'000 };
     std::chrono::milliseconds datagramIdleTimeout { 30'000 };
--- a/Libraries/CoordinationCodec/bucket_list_codec.h
+++ b/Libraries/CoordinationCodec/bucket_list_codec.h
@@ -13,7 +13,7 @@
 /// Writes ascending bucket numbers as gaps, or as runs where these are shorter.
 /// @param buckets Ascending bucket numbers.
 /// @param message A message with repeated fields gaps and runs.
-template<typename Message>
+template <typename Message>
 void encodeBuckets(std::vector<uint32_t> const& buckets, Message& message)
 {
     std::vector<uint32_t> runs;
@@ -41,7 +41,7 @@
 /// Reads bucket numbers and checks that they ascend and are in range.
 /// @param message A message with repeated fields gaps and runs.
 /// @return The bucket numbers, or InvalidArgument.
-template<typename Message>
+template <typename Message>
 absl::StatusOr<std::vector<uint32_t>> decodeBuckets(Message const& message)
 {
     std::vector<uint32_t> buckets;
--- a/Libraries/CoordinationCodec/coordination_codec.cpp
+++ b/Libraries/CoordinationCodec/coordination_codec.cpp
@@ -125,8 +125,8 @@
         message.mutable_leave_permission();
     }
 
-    absl::StatusOr<body_type> decodeTables(
-        google::protobuf::RepeatedPtrField<messages::TableTransfer> const& messages, std::vector<table_transfer>& tables)
+    absl::StatusOr<body_type> decodeTables(google::protobuf::RepeatedPtrField<messages::TableTransfer> const& messages,
+        std::vector<table_transfer>& tables)
     {
         for (auto const& item : messages) {
             auto table = decodeTransfer(item);
--- a/Libraries/CoordinationCodec/membership_codec.cpp
+++ b/Libraries/CoordinationCodec/membership_codec.cpp
@@ -59,8 +59,8 @@
         if (message.port() > UINT16_MAX || message.state() > static_cast<uint32_t>(server_state::Draining)
             || message.age_milliseconds() > maximumAgeMilliseconds)
             return makeError(error_kind::InvalidArgument, "server record with a value out of range");
-        server_announcement const announcement {
-            { service_id { message.service() }, *address, static_cast<uint16_t>(message.port()) },
+        server_announcement const announcement { { service_id { message.service() }, *address,
+                                                     static_cast<uint16_t>(message.port()) },
             zone_id { message.zone() }, static_cast<server_state>(message.state()), message.slots(),
             message.connection_limit(), { message.busy_slots(), message.queue(), message.open_connections() },
             message.incarnation() };
--- a/Libraries/CoordinationCodec/table_codec.cpp
+++ b/Libraries/CoordinationCodec/table_codec.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     /// Numbers values by the order of their first use.
-    template<typename Value>
+    template <typename Value>
     class dictionary {
     public:
         uint32_t indexOf(Value const& value)
--- a/Libraries/Packet/udp_packet_io.cpp
+++ b/Libraries/Packet/udp_packet_io.cpp
@@ -258,6 +258,15 @@
     return poll(&entry, 1, static_cast<int>(timeout.count())) > 0;
 }
 
+bool udp_packet_io::waitAnyReadable(std::span<udp_packet_io* const> sockets, std::chrono::milliseconds timeout)
+{
+    std::vector<pollfd> entries;
+    entries.reserve(sockets.size());
+    for (auto const* socket : sockets)
+        entries.push_back({ socket->m_state->socket, POLLIN, 0 });
+    return poll(entries.data(), entries.size(), static_cast<int>(timeout.count())) > 0;
+}
+
 packet_io_counters udp_packet_io::counters() const { return m_state->counters; }
 
 } // namespace bilberryyard
--- a/Libraries/Packet/udp_packet_io.h
+++ b/Libraries/Packet/udp_packet_io.h
@@ -54,6 +54,12 @@
     /// @return Whether a packet is waiting.
     bool waitReadable(std::chrono::milliseconds timeout);
 
+    /// Waits on several sockets.
+    /// @param sockets The sockets.
+    /// @param timeout Longest time to wait.
+    /// @return Whether a packet is waiting on one of them.
+    static bool waitAnyReadable(std::span<udp_packet_io* const> sockets, std::chrono::milliseconds timeout);
+
     packet_io_counters counters() const;
 
 private:
--- /dev/null
+++ b/Services/Daemon/balancer_role.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "balancer_http.h"
+#include "configuration_duty.h"
+#include "coordination_duty.h"
+#include "packet_duty.h"
+#include <Configuration/daemon_settings.h>
+#include <Kernel/metrics_registry.h>
+#include <absl/status/statusor.h>
+#include <memory>
+
+namespace bilberryyard {
+
+/// The role balancer: packet, coordination and configuration threads of an entry host.
+class balancer_role {
+public:
+    /// @param settings Settings with the role balancer.
+    /// @param metrics Receives metrics; must outlive the role.
+    /// @return The running role, or why a socket cannot be opened.
+    static absl::StatusOr<std::unique_ptr<balancer_role>> create(
+        daemon_settings const& settings, metrics_registry& metrics);
+
+    /// Adds the HTTP handlers.
+    void registerAt(http_router& router) { m_http->registerAt(router); }
+
+    /// Stops gracefully: readiness fails, witness roles are handed over, and packets are forwarded until the
+    /// fabric has had time to notice.
+    void leave();
+
+private:
+    balancer_role() = default;
+
+    std::unique_ptr<packet_duty> m_packets;
+    std::unique_ptr<coordination_duty> m_coordination;
+    std::unique_ptr<configuration_duty> m_configuration;
+    std::unique_ptr<balancer_http> m_http;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Daemon/configuration_duty.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "coordination_duty.h"
+#include <Base/event_logger.h>
+#include <Configuration/configuration.h>
+#include <Distribution/configuration_subscriber.h>
+#include <Kernel/duty_thread.h>
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace bilberryyard {
+
+/// The thread that keeps this host's configuration up to date, and saves the last good one so that the host
+/// can start from it while no control host is reachable.
+class configuration_duty {
+public:
+    /// @param subscriber Asks the control hosts.
+    /// @param coordination Receives configurations; must outlive this object.
+    /// @param zone Name of this host's zone.
+    /// @param savedFile File of the last good configuration; empty for none.
+    configuration_duty(std::unique_ptr<configuration_subscriber> subscriber, coordination_duty& coordination,
+        std::string zone, std::string savedFile);
+
+    /// @return Revision in force.
+    uint64_t revision() const { return m_revision.load(std::memory_order_relaxed); }
+
+private:
+    void run(std::stop_token const& stopToken);
+    void loadSaved();
+    absl::Status apply(uint64_t revision, std::string const& yaml);
+    void save(uint64_t revision, std::string const& yaml);
+
+    std::unique_ptr<configuration_subscriber> m_subscriber;
+    coordination_duty& m_coordination;
+    std::string m_zone;
+    std::string m_savedFile;
+    event_logger m_logger { "configuration" };
+    std::atomic<uint64_t> m_revision { 0 };
+    std::unique_ptr<duty_thread> m_thread;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Daemon/coordination_duty.cpp
@@ -0,0 +1,137 @@
+#include "coordination_duty.h"
+
+#include <Base/error_kind.h>
+
+namespace bilberryyard {
+
+namespace {
+
+    constexpr std::chrono::milliseconds receiveWait { 10 };
+    constexpr std::chrono::milliseconds statusInterval { 100 };
+
+} // namespace
+
+coordination_duty::coordination_duty(coordinator_settings const& settings, uint32_t deployment, message_socket socket,
+    packet_duty& packets, metrics_registry& metrics)
+    : m_settings(settings)
+    , m_codec(deployment)
+    , m_socket(std::move(socket))
+    , m_packets(packets)
+    , m_metrics(metrics)
+{
+    m_thread = std::make_unique<duty_thread>("coordination", [this](std::stop_token const& token) { run(token); });
+}
+
+void coordination_duty::run(std::stop_token const& stopToken)
+{
+    while (!stopToken.stop_requested()) {
+        auto const now = std::chrono::steady_clock::now();
+        takeConfigurations(now);
+        while (auto const task = m_tasks.pop())
+            (*task)(m_coordinator ? &*m_coordinator : nullptr, now);
+        if (m_coordinator) {
+            takeResults(now);
+            m_coordinator->step(now);
+            sendOutput();
+        }
+        if (!m_statusAt || now - *m_statusAt >= statusInterval) {
+            publishStatus(now);
+            publishMetrics();
+        }
+        receiveMessages(receiveWait);
+    }
+}
+
+void coordination_duty::takeConfigurations(monotonic_time now)
+{
+    while (auto const update = m_configurations.pop()) {
+        if (!m_coordinator) {
+            m_settings.zone = (*update)->zone;
+            auto created = balancer_coordinator::create(m_settings, now);
+            if (!created.ok()) {
+                m_logger.emit(events::startFailed, messageOf(created.status()));
+                continue;
+            }
+            m_coordinator.emplace(*std::move(created));
+        }
+        m_coordinator->configure((*update)->configuration, now);
+        m_sharedConfiguration = std::make_shared<coordinated_configuration const>(m_coordinator->configuration());
+        m_logger.emit(events::configurationInForce, "revision=" + std::to_string((*update)->configuration.revision));
+        m_statusAt.reset();
+    }
+}
+
+void coordination_duty::takeResults(monotonic_time now)
+{
+    while (auto const result = m_packets.results().pop())
+        m_coordinator->receive(*result, now);
+}
+
+void coordination_duty::receiveMessages(std::chrono::milliseconds timeout)
+{
+    auto bytes = m_socket.receive(timeout);
+    while (bytes) {
+        auto const message = m_codec.decode(*bytes);
+        if (!message.ok())
+            m_metrics.counter("peer_messages_refused_total").add();
+        else if (m_coordinator && !m_coordinator->receive(*message, std::chrono::steady_clock::now()).ok())
+            m_metrics.counter("peer_messages_refused_total").add();
+        bytes = m_socket.receive(std::chrono::milliseconds(0));
+    }
+}
+
+void coordination_duty::sendOutput()
+{
+    for (auto const& message : m_coordinator->takeMessages()) {
+        if (!m_socket.send(message.receiver, m_codec.encode(message.message)))
+            m_metrics.counter("peer_messages_unsent_total").add();
+    }
+    for (auto const& command : m_coordinator->takeCommands())
+        m_packets.commands().push(command);
+    if (auto view = m_coordinator->takeView())
+        m_unsentView = std::move(view);
+    // A full ring only means that the packet thread is behind; the latest view is offered again.
+    if (m_unsentView && m_packets.views().push(m_unsentView))
+        m_unsentView.reset();
+}
+
+void coordination_duty::publishStatus(monotonic_time now)
+{
+    m_statusAt = now;
+    auto status = std::make_shared<balancer_status>();
+    if (m_coordinator) {
+        status->isConfigured = true;
+        status->state = m_coordinator->state();
+        status->planner = m_coordinator->planner();
+        status->configuration = m_sharedConfiguration;
+        status->hosts = m_coordinator->hosts(now);
+        status->servers = m_coordinator->servers(now);
+        status->tables = m_coordinator->sharedTables();
+        status->isLeaving = status->hosts.front().intent == host_intent::Leaving;
+        status->mayLeave = m_coordinator->mayLeave();
+    }
+    m_status.publish(std::move(status));
+}
+
+void coordination_duty::publishMetrics()
+{
+    m_metrics.setGauge("peer_sent_bytes", static_cast<double>(m_socket.sentBytes()));
+    m_metrics.setGauge("peer_received_bytes", static_cast<double>(m_socket.receivedBytes()));
+    auto const& counters = m_packets.counters();
+    m_metrics.setGauge("packets_from_fabric", static_cast<double>(counters.fromFabric.load()));
+    m_metrics.setGauge("packets_from_peers", static_cast<double>(counters.fromPeers.load()));
+    m_metrics.setGauge("packets_to_servers", static_cast<double>(counters.toServers.load()));
+    m_metrics.setGauge("packets_to_peers", static_cast<double>(counters.toPeers.load()));
+    m_metrics.setGauge("packets_rejected", static_cast<double>(counters.rejected.load()));
+    m_metrics.setGauge("packets_kernel_dropped", static_cast<double>(m_packets.kernelDrops()));
+    m_metrics.setGauge("packets_send_failed", static_cast<double>(m_packets.sendFailures()));
+    m_metrics.setGauge("flow_entries", static_cast<double>(m_packets.flowCount()));
+    for (size_t index = 0; index < dropReasonCount; ++index) {
+        auto const name = std::string(dropReasonName(static_cast<drop_reason>(index)));
+        m_metrics.setGauge("packets_dropped_" + name, static_cast<double>(counters.dropped[index].load()));
+    }
+    if (m_coordinator)
+        m_metrics.setGauge("configuration_revision", static_cast<double>(m_coordinator->configurationRevision()));
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Daemon/daemon.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <Base/event_logger.h>
+#include <Configuration/daemon_settings.h>
+#include <Kernel/metrics_registry.h>
+#include <Kernel/service_directory.h>
+#include <absl/status/statusor.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bilberryyard {
+
+struct daemon_options {
+    daemon_settings settings;
+    /// Initial configuration of a new deployment, for control hosts; empty for none.
+    std::string initialConfiguration;
+};
+
+/// The process: its roles, which find each other in a service_directory, and its HTTP server.
+class daemon {
+public:
+    /// Opens all sockets and starts all threads.
+    /// @param options The options.
+    /// @return The daemon, or why it cannot start.
+    static absl::StatusOr<std::unique_ptr<daemon>> create(daemon_options const& options);
+
+    daemon(daemon const&) = delete;
+    daemon& operator=(daemon const&) = delete;
+    ~daemon();
+
+    /// Runs until a stop is requested, then stops gracefully.
+    /// @param stopRequested Asked every few milliseconds.
+    void run(std::function<bool()> const& stopRequested);
+
+private:
+    struct state;
+    explicit daemon(std::unique_ptr<state> prepared);
+
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Daemon/packet_duty.cpp
@@ -0,0 +1,103 @@
+#include "packet_duty.h"
+
+namespace bilberryyard {
+
+namespace {
+
+    constexpr std::chrono::milliseconds idleWait { 1 };
+    // Entries visited after each batch; a table of 500,000 is visited about once a minute when idle.
+    constexpr size_t expiryStep = 32;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<packet_duty>> packet_duty::create(
+    ip_endpoint const& fabric, ip_endpoint const& relay, processor_settings const& settings)
+{
+    auto fabricIo = udp_packet_io::create(fabric);
+    if (!fabricIo.ok())
+        return fabricIo.status();
+    auto relayIo = udp_packet_io::create(relay);
+    if (!relayIo.ok())
+        return relayIo.status();
+    return std::unique_ptr<packet_duty>(new packet_duty(*std::move(fabricIo), *std::move(relayIo), settings));
+}
+
+packet_duty::packet_duty(udp_packet_io fabric, udp_packet_io relay, processor_settings const& settings)
+    : m_fabric(std::move(fabric))
+    , m_relay(std::move(relay))
+    , m_processor(settings, m_router, m_fabric, m_relay, m_counters)
+{
+    m_thread = std::make_unique<duty_thread>("packets", [this](std::stop_token const& token) { run(token); });
+}
+
+void packet_duty::run(std::stop_token const& stopToken)
+{
+    std::array<udp_packet_io*, 2> const sockets { &m_fabric, &m_relay };
+    while (!stopToken.stop_requested()) {
+        takeInput();
+        auto const now = std::chrono::steady_clock::now();
+        auto const handled = m_processor.step(now);
+        m_router.expire(now, expiryStep);
+        publishCounters();
+        if (handled == 0)
+            udp_packet_io::waitAnyReadable(sockets, idleWait);
+    }
+}
+
+void packet_duty::takeInput()
+{
+    std::shared_ptr<forwarding_view const> latest;
+    while (auto view = m_views.pop())
+        latest = *std::move(view);
+    if (latest) {
+        m_view = latest;
+        m_processor.setView(std::move(latest));
+    }
+    auto const now = std::chrono::steady_clock::now();
+    while (auto const command = m_commands.pop())
+        execute(*command, now);
+    while (auto const task = m_tasks.pop())
+        (*task)(m_router);
+}
+
+void packet_duty::execute(flow_command const& command, monotonic_time now)
+{
+    std::visit([&](auto const& value) { execute(value, now); }, command);
+}
+
+void packet_duty::execute(export_command const& command, monotonic_time)
+{
+    m_results.push(export_result {
+        command, m_router.exportFlows(command.service, command.buckets, command.cursor, command.maximumFlows) });
+}
+
+void packet_duty::execute(import_command const& command, monotonic_time now)
+{
+    // A full table is counted by the router; the filling witness then asks the complete one for the missing flows.
+    m_router.importFlows(command.service, command.flows, now).status().IgnoreError();
+}
+
+void packet_duty::execute(settle_command const& command, monotonic_time now)
+{
+    settle_result result { command.service, command.stamp, {} };
+    if (!m_view)
+        return;
+    auto const idle = m_view->routing->flowIdleTimeout;
+    for (auto const index : command.buckets) {
+        auto const usage = m_router.usageOf(command.service, index);
+        if (usage.differing == 0 && (!usage.lastBaseUse || now - *usage.lastBaseUse >= idle))
+            result.buckets.push_back(index);
+    }
+    m_results.push(std::move(result));
+}
+
+void packet_duty::publishCounters()
+{
+    auto const fabric = m_fabric.counters();
+    auto const relay = m_relay.counters();
+    m_kernelDrops.store(fabric.kernelDrops + relay.kernelDrops, std::memory_order_relaxed);
+    m_sendFailures.store(fabric.sendFailures + relay.sendFailures, std::memory_order_relaxed);
+    m_flowCount.store(m_router.flows().size(), std::memory_order_relaxed);
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Daemon/packet_duty.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <Coordination/flow_state.h>
+#include <Coordination/forwarding_view.h>
+#include <Forwarding/packet_processor.h>
+#include <Forwarding/processor_counters.h>
+#include <Forwarding/processor_settings.h>
+#include <Kernel/bounded_mailbox.h>
+#include <Kernel/bounded_ring.h>
+#include <Kernel/duty_thread.h>
+#include <Packet/udp_packet_io.h>
+#include <Routing/flow_router.h>
+#include <absl/status/statusor.h>
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace bilberryyard {
+
+/// The thread that moves packets. It owns the flow router; others reach it through rings.
+class packet_duty {
+public:
+    /// A task on the packet thread, for example an explanation.
+    using router_task = std::function<void(flow_router&)>;
+
+    /// @param fabric Endpoint for packets from the fabric.
+    /// @param relay Endpoint for relayed packets.
+    /// @param settings Settings of the processor.
+    /// @return The running thread, or Unavailable when an endpoint cannot be bound.
+    static absl::StatusOr<std::unique_ptr<packet_duty>> create(
+        ip_endpoint const& fabric, ip_endpoint const& relay, processor_settings const& settings);
+
+    /// From the coordination thread to the packet thread.
+    bounded_ring<std::shared_ptr<forwarding_view const>>& views() { return m_views; }
+    bounded_ring<flow_command>& commands() { return m_commands; }
+    /// From the packet thread to the coordination thread.
+    bounded_ring<flow_result>& results() { return m_results; }
+    /// From any thread.
+    bounded_mailbox<router_task>& tasks() { return m_tasks; }
+
+    processor_counters const& counters() const { return m_counters; }
+    /// @return Packets that the kernel dropped because a receive buffer was full.
+    uint64_t kernelDrops() const { return m_kernelDrops.load(std::memory_order_relaxed); }
+    uint64_t sendFailures() const { return m_sendFailures.load(std::memory_order_relaxed); }
+    uint64_t flowCount() const { return m_flowCount.load(std::memory_order_relaxed); }
+
+private:
+    packet_duty(udp_packet_io fabric, udp_packet_io relay, processor_settings const& settings);
+    void run(std::stop_token const& stopToken);
+    void takeInput();
+    void execute(flow_command const& command, monotonic_time now);
+    void execute(export_command const& command, monotonic_time now);
+    void execute(import_command const& command, monotonic_time now);
+    void execute(settle_command const& command, monotonic_time now);
+    void publishCounters();
+
+    udp_packet_io m_fabric;
+    udp_packet_io m_relay;
+    processor_counters m_counters;
+    flow_router m_router;
+    packet_processor<flow_router, udp_packet_io> m_processor;
+    std::shared_ptr<forwarding_view const> m_view;
+    bounded_ring<std::shared_ptr<forwarding_view const>> m_views { 64 };
+    bounded_ring<flow_command> m_commands { 1024 };
+    bounded_ring<flow_result> m_results { 1024 };
+    bounded_mailbox<router_task> m_tasks { 64 };
+    std::atomic<uint64_t> m_kernelDrops { 0 };
+    std::atomic<uint64_t> m_sendFailures { 0 };
+    std::atomic<uint64_t> m_flowCount { 0 };
+    std::unique_ptr<duty_thread> m_thread;
+};
+
+} // namespace bilberryyard
--- a/Utilities/Emulator/main.cpp
+++ b/Utilities/Emulator/main.cpp
@@ -28,6 +28,11 @@
   --listen ENDPOINT        Address and port to receive packets on.
   --balancer PACKETS,HTTP  Packet endpoint and HTTP endpoint of a balancer.
   --entry-host HTTP        HTTP endpoint of an entry host, for announcements.
+  --service NAME           Name of the service that the server belongs to.
+  --name NAME              Name of the server in answers.
+  --zone NAME              Availability zone of the server.
+  --fabric ENDPOINT        Where packets of callers go.
+  --target SERVICE,ENDPOINT,WEIGHT  A service, its address and its share of the flows.
   --gateway ENDPOINT       Where packets to callers go.
   --slots N                Requests worked on at a time [default: 2].
   --connection-limit N     Connections admitted [default: 2000].
