--- a/Libraries/Membership/peer_view.cpp
+++ b/Libraries/Membership/peer_view.cpp
@@ -68,9 +68,10 @@
     updateState();
 }
 
-peer_heartbeat peer_view::heartbeat(host_intent intent, table_acknowledgement acknowledgement) const
+peer_heartbeat peer_view::heartbeat(
+    host_intent intent, table_acknowledgement acknowledgement, std::map<service_id, table_announcement> tables) const
 {
-    peer_heartbeat result { m_self, m_zone, m_state, intent, {}, std::move(acknowledgement) };
+    peer_heartbeat result { m_self, m_zone, m_state, intent, {}, std::move(acknowledgement), std::move(tables) };
     for (auto const& [host, value] : m_peers) {
         if (heardWithin(value, m_settings.lease * 2 / 3))
             result.hears.push_back(host);
@@ -112,6 +113,12 @@
     return result;
 }
 
+peer_heartbeat const* peer_view::heartbeatOf(host_id host) const
+{
+    auto const entry = m_peers.find(host);
+    return entry != m_peers.end() && isLive(entry->second) ? &entry->second.heartbeat : nullptr;
+}
+
 bool peer_view::isFull() const { return livePeers().size() + 1 == m_configured.size(); }
 
 std::set<zone_id> peer_view::reachableZones() const
--- a/Libraries/Membership/peer_view.h
+++ b/Libraries/Membership/peer_view.h
@@ -30,6 +30,13 @@
     auto operator<=>(table_acknowledgement const&) const = default;
 };
 
+/// The state of a planner's table, so that a host notices that it missed a change.
+struct table_announcement {
+    uint64_t version = 0;
+    uint64_t digest = 0;
+    auto operator<=>(table_announcement const&) const = default;
+};
+
 /// Whether a host takes part or is about to stop.
 enum class host_intent : uint8_t {
     Staying,
@@ -47,6 +54,8 @@
     /// lease, so that peers that lost the planner together with a host have said so when its lease ends.
     std::vector<host_id> hears;
     table_acknowledgement acknowledgement;
+    /// The sender's tables while it is the planner; empty otherwise.
+    std::map<service_id, table_announcement> tables;
     auto operator<=>(peer_heartbeat const&) const = default;
 };
 
@@ -94,8 +103,10 @@
 
     /// @param intent What this host says about itself in its heartbeats.
     /// @param acknowledgement The tables it has applied.
+    /// @param tables Its tables when it is the planner.
     /// @return The heartbeat to send to every configured peer.
-    peer_heartbeat heartbeat(host_intent intent, table_acknowledgement acknowledgement) const;
+    peer_heartbeat heartbeat(host_intent intent, table_acknowledgement acknowledgement,
+        std::map<service_id, table_announcement> tables) const;
 
     /// @return Whether this host may trust its table.
     synchronisation state() const { return m_state; }
@@ -112,6 +123,13 @@
     /// @return The last heartbeats of the live peers, in ascending order of host.
     std::vector<peer_heartbeat> liveHeartbeats() const;
 
+    /// @param host A peer.
+    /// @return Its last heartbeat while it is live, otherwise nullptr.
+    peer_heartbeat const* heartbeatOf(host_id host) const;
+
+    /// @return The entry hosts that the configuration lists.
+    std::set<host_id> const& configuredHosts() const { return m_configured; }
+
     /// @return Whether every configured entry host is live.
     bool isFull() const;
 
--- a/Tests/Membership/test_peer_view.cpp
+++ b/Tests/Membership/test_peer_view.cpp
@@ -37,7 +37,7 @@
             for (auto& source : views)
                 for (auto& target : views)
                     if (isConnected(source, target))
-                        BOOST_REQUIRE(target.receive(source.heartbeat(host_intent::Staying, {}), at(now)).ok());
+                        BOOST_REQUIRE(target.receive(source.heartbeat(host_intent::Staying, {}, {}), at(now)).ok());
             for (auto& target : views)
                 if (auto const planner = target.planner(); serveTables && planner
                     && !suspended.contains(target.self().host.value)
@@ -132,8 +132,8 @@
 {
     peer_view view({ host_id { 3 }, 1 }, zone_id { 3 }, {}, at(0));
     view.setConfiguredHosts({ host_id { 1 }, host_id { 2 }, host_id { 3 } });
-    peer_heartbeat planner { { host_id { 1 }, 1 }, zone_id { 1 }, synchronisation::Synchronised, {}, {}, {} };
-    peer_heartbeat peer { { host_id { 2 }, 1 }, zone_id { 2 }, synchronisation::Synchronised, {}, { host_id { 1 } },
+    peer_heartbeat planner { { host_id { 1 }, 1 }, zone_id { 1 }, synchronisation::Synchronised, {}, {}, {}, {} };
+    peer_heartbeat peer { { host_id { 2 }, 1 }, zone_id { 2 }, synchronisation::Synchronised, {}, { host_id { 1 } }, {},
         {} };
     BOOST_REQUIRE(view.receive(planner, at(0)).ok());
     view.tablesReceived(planner.sender, view.epoch(), at(0));
@@ -183,7 +183,7 @@
 {
     peer_view view({ host_id { 1 }, 1 }, zone_id { 1 }, {}, at(0));
     view.setConfiguredHosts({ host_id { 1 }, host_id { 2 } });
-    peer_heartbeat heartbeat { { host_id { 2 }, 5 }, zone_id { 2 }, synchronisation::Synchronised, {}, {}, {} };
+    peer_heartbeat heartbeat { { host_id { 2 }, 5 }, zone_id { 2 }, synchronisation::Synchronised, {}, {}, {}, {} };
     BOOST_REQUIRE(view.receive(heartbeat, at(0)).ok());
     heartbeat.sender = row.sender;
     BOOST_CHECK(errorKindOf(view.receive(heartbeat, at(1))) == row.expected);
