OperatorInterface: Add the HTTP handlers, server and client

Operators and backend servers reach the system over HTTP. operator_api, balancer_api and health_api are handlers from a request value to a response value; the replicated log and the data plane are plugged in through concepts. http_server and http_client wrap CivetWeb, which stays out of public headers.

--- a/Libraries/Configuration/configuration_command.h
+++ b/Libraries/Configuration/configuration_command.h
@@ -68,6 +68,14 @@
 /// @return The change that adds it.
 configuration_command::change_type makeAddExceptionChange(configuration_exception const& value);
 
+/// Carries out a change, without numbers for new zones and services.
+/// @param current The configuration that it changes.
+/// @param change The change.
+/// @return The changed configuration; InvalidArgument with the place of a mistake, Conflict for an exception
+///     that exists, NotFound for one that does not.
+absl::StatusOr<configuration> withChange(
+    configuration const& current, configuration_command::change_type const& change);
+
 /// @param requestId A request id.
 /// @return Whether it has the allowed length and characters.
 bool isValidRequestId(std::string_view requestId);
--- a/Libraries/Configuration/configuration_state_machine.cpp
+++ b/Libraries/Configuration/configuration_state_machine.cpp
@@ -2,7 +2,6 @@
 
 #include <Configuration/configuration_checks.h>
 #include <Configuration/configuration_difference.h>
-#include <Configuration/configuration_reader.h>
 #include <Configuration/document_parser.h>
 #include <algorithm>
 #include <utility>
@@ -45,30 +44,6 @@
         return lines;
     }
 
-    absl::StatusOr<configuration> withChange(configuration const&, replace_configuration_change const& change)
-    {
-        return configuration_reader("configuration").read(change.yaml);
-    }
-
-    absl::StatusOr<configuration> withChange(configuration const& current, add_exception_change const& change)
-    {
-        auto const tree = parseDocument(change.yaml, "exception");
-        if (!tree.ok())
-            return tree.status();
-        auto const exception = configuration_reader("exception").readException(*tree);
-        if (!exception.ok())
-            return exception.status();
-        return current.withException(*exception);
-    }
-
-    absl::StatusOr<configuration> withChange(configuration const& current, remove_exception_change const& change)
-    {
-        auto const target = exception_target::parse(change.target);
-        if (!target.ok())
-            return target.status();
-        return current.withoutException(*target, change.key);
-    }
-
 } // namespace
 
 configuration_state_machine::configuration_state_machine(state_machine_limits limits)
@@ -161,8 +136,7 @@
 
 absl::StatusOr<assigned_configuration> configuration_state_machine::changed(configuration_command const& command) const
 {
-    auto const wanted
-        = std::visit([&](auto const& change) { return withChange(*m_configuration, change); }, command.change);
+    auto const wanted = withChange(*m_configuration, command.change);
     if (!wanted.ok())
         return wanted.status();
     return assignIdentifiers(*wanted, *m_configuration, m_watermarks);
@@ -187,19 +161,18 @@
     return record ? &record->result : nullptr;
 }
 
-std::vector<audit_entry> configuration_state_machine::audit(uint64_t first, uint64_t last, size_t limit) const
-{
-    std::vector<audit_entry> entries;
-    auto const begin = std::lower_bound(m_audit.begin(), m_audit.end(), first,
-        [](auto const& entry, uint64_t value) { return entry.sequence < value; });
-    for (auto entry = begin; entry != m_audit.end() && entry->sequence <= last && entries.size() < limit; ++entry)
-        entries.push_back(*entry);
-    return entries;
-}
-
-std::pair<uint64_t, uint64_t> configuration_state_machine::auditRange() const
+audit_page configuration_state_machine::audit(audit_query const& query) const
 {
-    return { m_audit.empty() ? m_nextAuditSequence : m_audit.front().sequence, m_nextAuditSequence };
+    uint64_t const firstKept = m_nextAuditSequence - m_audit.size();
+    audit_page page { firstKept, m_nextAuditSequence, {} };
+    uint64_t const end = std::min(query.last, m_nextAuditSequence - 1) + 1;
+    uint64_t const available = end > firstKept ? end - firstKept : 0;
+    uint64_t first = end - std::min(query.limit, available);
+    if (query.first)
+        first = std::max(*query.first, firstKept);
+    for (uint64_t sequence = first; sequence < end && page.entries.size() < query.limit; ++sequence)
+        page.entries.push_back(m_audit[sequence - firstKept]);
+    return page;
 }
 
 std::vector<std::string> configuration_state_machine::changesSince(uint64_t base) const
--- a/Libraries/Configuration/configuration_state_machine.h
+++ b/Libraries/Configuration/configuration_state_machine.h
@@ -52,14 +52,10 @@
     /// @return Its recorded result, or null.
     command_result const* findResult(std::string_view requestId) const;
 
-    /// @param first Sequence number of the first wanted entry.
-    /// @param last Sequence number of the last wanted entry.
-    /// @param limit Largest number of entries.
-    /// @return The kept entries of the range in ascending order.
-    std::vector<audit_entry> audit(uint64_t first, uint64_t last, size_t limit) const;
-
-    /// @return Sequence number of the first kept audit entry, and of the one after the last.
-    std::pair<uint64_t, uint64_t> auditRange() const;
+    /// @param query The wanted range.
+    /// @return The kept entries of the range: the first ones when the query names a first entry, otherwise
+    ///     the latest ones.
+    audit_page audit(audit_query const& query) const;
 
     /// @param base A revision.
     /// @return One line for each change that was accepted after that revision, at most 100.
--- a/Libraries/Configuration/daemon_setting_key.cpp
+++ b/Libraries/Configuration/daemon_setting_key.cpp
@@ -11,7 +11,7 @@
         { "deployment", "yes",
             "Name of the deployment; the seed of the flow hash is derived from it, so it is the same on "
             "every host and never changes." },
-        { "host_id", "yes", "Number of this host, 1 to 65535; unique over entry hosts and control hosts." },
+        { "host_id", "yes", "Number of this host, 1 to 4094; unique over entry hosts and control hosts." },
         { "zone", "yes", "Availability zone of this host." },
         { "roles", "yes", "List of `balancer` (entry hosts) and `control` (hosts of the replicated log)." },
         { "log_level", "no",
--- a/Libraries/Configuration/daemon_settings.cpp
+++ b/Libraries/Configuration/daemon_settings.cpp
@@ -18,7 +18,8 @@
 namespace {
 
     constexpr uint64_t deploymentHashSeed = 0x6465706c6f79;
-    constexpr uint64_t largestHostId = UINT16_MAX;
+    // Server numbers hold the host in 12 bits.
+    constexpr uint64_t largestHostId = 4094;
     constexpr size_t maximumEntryHosts = 3000;
     constexpr size_t maximumControlMembers = 11;
 
--- /dev/null
+++ b/Libraries/OperatorInterface/configuration_backend.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <Base/identifiers.h>
+#include <Base/monotonic_time.h>
+#include <Configuration/audit_entry.h>
+#include <Configuration/command_result.h>
+#include <Configuration/configuration.h>
+#include <Configuration/configuration_command.h>
+#include <OperatorInterface/operator_requests.h>
+#include <absl/status/statusor.h>
+#include <compare>
+#include <concepts>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bilberryyard {
+
+enum class reading_freshness {
+    /// A leader with a valid lease confirmed that no later revision was accepted.
+    Current,
+    /// The last revision that this host heard of.
+    Stale,
+};
+
+/// The configuration as one host knows it.
+struct configuration_reading {
+    uint64_t revision = 0;
+    std::shared_ptr<configuration const> value;
+    reading_freshness freshness = reading_freshness::Stale;
+    /// Time since the revision was last confirmed as the latest one.
+    duration age {};
+};
+
+/// One row of `bilberryyard status`.
+struct host_status {
+    host_id host;
+    std::string zone;
+    /// "balancer", "control" or both.
+    std::vector<std::string> roles;
+    /// For example "live", "leader", "draining" or "not heard from".
+    std::string condition;
+    /// Revision in effect on the host; nothing when it has not reported one.
+    std::optional<uint64_t> activeRevision;
+    /// Time since the host was last heard from.
+    duration age {};
+    auto operator<=>(host_status const&) const = default;
+};
+
+/// What the operator interface needs of the replicated log and of the view of the hosts. The functions are
+/// called from several threads and wait no longer than a few seconds.
+///
+/// - propose: puts a command into the log and waits for its result. A result that refuses the change is a
+///   result; an error means that the outcome is not known or that nothing was proposed: NotLeader,
+///   Unavailable or DeadlineExceeded.
+/// - read: the configuration with its age.
+/// - audit: a part of the audit trail.
+/// - status: one row for each host.
+/// - members: the members of the replicated log.
+/// - changeMembers: adds or removes one member. Adding a present member with equal addresses and removing an
+///   absent one succeed, so that a resend is harmless.
+template <typename Backend>
+concept configuration_backend = requires(
+    Backend& backend, configuration_command const& command, audit_query const& query, member_change const& change)
+{
+    {
+        backend.propose(command)
+        } -> std::same_as<absl::StatusOr<command_result>>;
+    {
+        backend.read()
+        } -> std::same_as<absl::StatusOr<configuration_reading>>;
+    {
+        backend.audit(query)
+        } -> std::same_as<absl::StatusOr<audit_page>>;
+    {
+        backend.status()
+        } -> std::same_as<absl::StatusOr<std::vector<host_status>>>;
+    {
+        backend.members()
+        } -> std::same_as<absl::StatusOr<std::vector<control_member>>>;
+    {
+        backend.changeMembers(change)
+        } -> std::same_as<absl::Status>;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/OperatorInterface/flow_text.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <Packet/flow_key.h>
+#include <absl/status/statusor.h>
+#include <string_view>
+
+namespace bilberryyard {
+
+/// Reads a flow in the form that flow_key::toText writes.
+/// @param text "tcp 192.0.2.1:4000 -> 198.51.100.1:80" or "udp [2001:db8::1]:4000 -> [2001:db8::2]:80".
+/// @return The flow; InvalidArgument for another form or addresses of different families.
+absl::StatusOr<flow_key> parseFlow(std::string_view text);
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/OperatorInterface/http_server.cpp
@@ -0,0 +1,170 @@
+#include <OperatorInterface/http_server.h>
+
+#include <Base/error_kind.h>
+#include <algorithm>
+#include <array>
+#include <civetweb.h>
+#include <string>
+#include <utility>
+
+namespace bilberryyard {
+
+namespace {
+
+    constexpr int contentTooLarge = 413;
+    constexpr int requestTimedOut = 408;
+    // Header fields may hold no line breaks; handlers put texts from requests into none.
+    constexpr std::string_view lineEnd = "\r\n";
+
+    std::string lowerCase(std::string_view text)
+    {
+        std::string result(text);
+        std::transform(result.begin(), result.end(), result.begin(), [](char character) {
+            return character >= 'A' && character <= 'Z' ? static_cast<char>(character + 32) : character;
+        });
+        return result;
+    }
+
+    http_request requestWithoutBody(mg_request_info const& information)
+    {
+        http_request request;
+        request.method = information.request_method ? information.request_method : "";
+        request.path = information.local_uri ? information.local_uri : "";
+        if (information.query_string)
+            request.query = parseQuery(information.query_string);
+        for (int index = 0; index < information.num_headers; ++index)
+            request.headers.emplace(
+                lowerCase(information.http_headers[index].name), information.http_headers[index].value);
+        return request;
+    }
+
+    void send(mg_connection* connection, http_response const& response)
+    {
+        auto const* text = mg_get_response_code_text(connection, response.status);
+        std::string head = "HTTP/1.1 " + std::to_string(response.status) + " " + text;
+        auto const addField = [&](std::string const& name, std::string const& value) {
+            head.append(lineEnd).append(name).append(": ").append(value);
+        };
+        addField("Content-Type", response.contentType);
+        addField("Content-Length", std::to_string(response.body.size()));
+        addField("Cache-Control", "no-store");
+        addField("Connection", "close");
+        for (auto const& [name, value] : response.headers)
+            addField(name, value);
+        head.append(lineEnd).append(lineEnd);
+        // An error means that the client is gone, and nobody is left to hear about it.
+        if (mg_write(connection, head.data(), head.size()) > 0)
+            mg_write(connection, response.body.data(), response.body.size());
+    }
+
+    enum class body_outcome {
+        Complete,
+        TooLarge,
+        TimedOut,
+    };
+
+    // CivetWeb's time limit applies to each read, so a client that sends single bytes is stopped here.
+    body_outcome readBody(
+        mg_connection* connection, long long announcedSize, http_limits const& limits, std::string& body)
+    {
+        if (announcedSize > static_cast<long long>(limits.maximumBodySize))
+            return body_outcome::TooLarge;
+        auto const deadline = std::chrono::steady_clock::now() + limits.requestTimeout;
+        std::array<char, 16384> part;
+        while (true) {
+            int const count = mg_read(connection, part.data(), part.size());
+            if (count <= 0)
+                break;
+            body.append(part.data(), static_cast<size_t>(count));
+            if (body.size() > limits.maximumBodySize)
+                return body_outcome::TooLarge;
+            if (std::chrono::steady_clock::now() > deadline)
+                return body_outcome::TimedOut;
+        }
+        bool const complete = announcedSize < 0 || static_cast<long long>(body.size()) == announcedSize;
+        return complete ? body_outcome::Complete : body_outcome::TimedOut;
+    }
+
+    std::string optionText(endpoint const& address)
+    {
+        std::string const host
+            = address.address.isIpv4() ? address.address.toText() : "[" + address.address.toText() + "]";
+        return host + ":" + std::to_string(address.port);
+    }
+
+} // namespace
+
+struct http_server::implementation {
+    http_router router;
+    http_limits limits;
+    mg_context* context = nullptr;
+
+    static int begin(mg_connection* connection)
+    {
+        auto const& information = *mg_get_request_info(connection);
+        auto const& self = *static_cast<implementation const*>(information.user_data);
+        auto const response = self.answer(connection, information);
+        mg_disable_keep_alive(connection);
+        send(connection, response);
+        return response.status;
+    }
+
+    http_response answer(mg_connection* connection, mg_request_info const& information) const
+    {
+        auto request = requestWithoutBody(information);
+        auto const outcome = readBody(connection, information.content_length, limits, request.body);
+        if (outcome == body_outcome::Complete)
+            return router.answer(request);
+        bool const tooLarge = outcome == body_outcome::TooLarge;
+        auto response = makeErrorResponse(request,
+            tooLarge ? makeError(error_kind::ResourceExhausted,
+                "the body is larger than " + std::to_string(limits.maximumBodySize) + " bytes")
+                     : makeError(error_kind::DeadlineExceeded, "the body did not arrive completely in time"));
+        response.status = tooLarge ? contentTooLarge : requestTimedOut;
+        return response;
+    }
+};
+
+http_server::http_server(endpoint const& address, std::unique_ptr<implementation> state)
+    : m_address(address)
+    , m_implementation(std::move(state))
+{
+}
+
+http_server::~http_server() { mg_stop(m_implementation->context); }
+
+absl::StatusOr<std::unique_ptr<http_server>> http_server::create(
+    endpoint const& address, http_router router, http_limits const& limits)
+{
+    auto state = std::make_unique<implementation>();
+    state->router = std::move(router);
+    state->limits = limits;
+    mg_init_library(0);
+    std::string const ports = optionText(address);
+    std::string const threads = std::to_string(limits.threads);
+    std::string const timeout
+        = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(limits.requestTimeout).count());
+    std::array<char const*, 9> options { "listening_ports", ports.c_str(), "num_threads", threads.c_str(),
+        "request_timeout_ms", timeout.c_str(), "enable_keep_alive", "no", nullptr };
+    mg_callbacks callbacks {};
+    callbacks.begin_request = implementation::begin;
+    // CivetWeb writes its own lines to a file of its own otherwise; failures reach the caller instead.
+    callbacks.log_message = [](mg_connection const*, char const*) { return 1; };
+    std::array<char, 256> errorText {};
+    mg_init_data init { &callbacks, state.get(), options.data() };
+    unsigned errorCode = 0;
+    mg_error_data error { &errorCode, errorText.data(), errorText.size() };
+    state->context = mg_start2(&init, &error);
+    if (!state->context)
+        return makeError(
+            error_kind::Unavailable, "HTTP port " + ports + " cannot be opened: " + std::string(errorText.data()));
+    mg_server_port opened {};
+    if (mg_get_server_ports(state->context, 1, &opened) != 1) {
+        mg_stop(state->context);
+        return makeError(error_kind::Unavailable, "HTTP port " + ports + " is not open");
+    }
+    endpoint const actual { address.address, static_cast<uint16_t>(opened.port) };
+    return std::unique_ptr<http_server>(new http_server(actual, std::move(state)));
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/OperatorInterface/http_server.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <Base/monotonic_time.h>
+#include <Configuration/endpoint.h>
+#include <OperatorInterface/http_router.h>
+#include <absl/status/statusor.h>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace bilberryyard {
+
+/// Limits of an HTTP server.
+struct http_limits {
+    /// Larger bodies are answered with status 413. A configuration of 10,000 services has about 3 MB.
+    size_t maximumBodySize = size_t { 8 } * 1024 * 1024;
+    /// Time for receiving a whole request, and for each write of the response.
+    duration requestTimeout = std::chrono::seconds(10);
+    /// Requests that are worked on at a time.
+    int threads = 8;
+    auto operator<=>(http_limits const&) const = default;
+};
+
+/// An HTTP/1.1 server on CivetWeb. Stops and waits for requests in progress on destruction.
+class http_server {
+public:
+    /// Opens the port and starts to answer.
+    /// @param address Where to listen; port 0 lets the kernel choose one.
+    /// @param router Finds the handlers.
+    /// @param limits Limits.
+    /// @return The server; Unavailable when the port cannot be opened.
+    static absl::StatusOr<std::unique_ptr<http_server>> create(
+        endpoint const& address, http_router router, http_limits const& limits = {});
+
+    http_server(http_server const&) = delete;
+    http_server& operator=(http_server const&) = delete;
+    ~http_server();
+
+    /// @return The address with the port that was opened.
+    endpoint address() const { return m_address; }
+
+private:
+    struct implementation;
+    http_server(endpoint const& address, std::unique_ptr<implementation> state);
+
+    endpoint m_address;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace bilberryyard
--- a/Tests/Configuration/test_configuration_state_machine.cpp
+++ b/Tests/Configuration/test_configuration_state_machine.cpp
@@ -93,7 +93,7 @@
     BOOST_TEST(result.message.starts_with(row.message), result.message);
     BOOST_TEST(machine.current().revision == before.revision);
     BOOST_TEST((*machine.current().value == *before.value));
-    auto const audit = machine.audit(1, UINT64_MAX, 10);
+    auto const audit = machine.audit({}).entries;
     BOOST_REQUIRE_EQUAL(audit.size(), 2U);
     BOOST_TEST((audit[1].result == result));
     BOOST_TEST(audit[1].author == row.command.author);
@@ -109,7 +109,7 @@
         BOOST_CHECK(result.error == error_kind::InvalidArgument);
     }
     BOOST_TEST(machine.current().revision == 0U);
-    BOOST_TEST(machine.auditRange().second == 4U);
+    BOOST_TEST(machine.audit({}).next == 4U);
 }
 
 // Guards against two operators that overwrite each other's change (F5).
@@ -271,13 +271,24 @@
     configuration_state_machine machine(state_machine_limits { 16, 5 });
     for (int index = 0; index < 8; ++index)
         machine.apply(replaceCommand("q" + std::to_string(index), 99, "").encode());
-    BOOST_TEST((machine.auditRange() == std::pair<uint64_t, uint64_t> { 4, 9 }));
-    auto const entries = machine.audit(5, 7, 2);
-    BOOST_REQUIRE_EQUAL(entries.size(), 2U);
-    BOOST_TEST(entries[0].sequence == 5U);
-    BOOST_TEST(entries[1].sequence == 6U);
-    BOOST_TEST(machine.audit(1, 4, 10).size() == 1U);
-    BOOST_TEST(machine.audit(9, 20, 10).empty());
+    auto const sequences = [&](audit_query const& query) {
+        std::vector<uint64_t> result;
+        for (auto const& entry : machine.audit(query).entries)
+            result.push_back(entry.sequence);
+        return result;
+    };
+    using list = std::vector<uint64_t>;
+    BOOST_TEST(machine.audit({}).firstKept == 4U);
+    BOOST_TEST(machine.audit({}).next == 9U);
+    BOOST_TEST((sequences({}) == list { 4, 5, 6, 7, 8 }));
+    BOOST_TEST((sequences({ 5, 7, 2 }) == list { 5, 6 }));
+    BOOST_TEST((sequences({ 1, 4, 10 }) == list { 4 }));
+    BOOST_TEST((sequences({ 9, 20, 10 }) == list {}));
+    BOOST_TEST((sequences({ 6, 5, 10 }) == list {}));
+    BOOST_TEST((sequences({ std::nullopt, UINT64_MAX, 2 }) == list { 7, 8 }));
+    BOOST_TEST((sequences({ std::nullopt, 5, 10 }) == list { 4, 5 }));
+    BOOST_TEST((sequences({ std::nullopt, 2, 10 }) == list {}));
+    BOOST_TEST((sequences({ std::nullopt, 0, 10 }) == list {}));
 }
 
 } // namespace
--- a/Tests/Configuration/test_daemon_settings.cpp
+++ b/Tests/Configuration/test_daemon_settings.cpp
@@ -44,7 +44,7 @@
 refusal_row const refusals[] = {
     { "zone: north\n", "zon: north\n", "s.yaml:3: zon: unknown key; did you mean 'zone'?" },
     { "zone: north\n", "", "s.yaml:1: the key 'zone' is missing" },
-    { "host_id: 1", "host_id: 0", "s.yaml:2: host_id: '0' is not allowed; expected a whole number from 1 to 65535" },
+    { "host_id: 1", "host_id: 0", "s.yaml:2: host_id: '0' is not allowed; expected a whole number from 1 to 4094" },
     { "zone: north", "zone: North", "s.yaml:3: zone: a name is 1 to 64 characters" },
     { "control]", "contrl]", "s.yaml:4: roles[1]: unknown role; did you mean 'control'?" },
     { "control]", "balancer]", "s.yaml:4: roles[1]: the role is given twice" },
