--- a/Libraries/OperatorInterface/http_server.cpp
+++ b/Libraries/OperatorInterface/http_server.cpp
@@ -13,6 +13,8 @@
 
     constexpr int contentTooLarge = 413;
     constexpr int requestTimedOut = 408;
+    // Number of the feature "IPv6" for mg_check_feature.
+    constexpr unsigned ipv6Feature = 8;
     // Header fields may hold no line breaks; handlers put texts from requests into none.
     constexpr std::string_view lineEnd = "\r\n";
 
@@ -85,13 +87,6 @@
         return complete ? body_outcome::Complete : body_outcome::TimedOut;
     }
 
-    std::string optionText(endpoint const& address)
-    {
-        std::string const host
-            = address.address.isIpv4() ? address.address.toText() : "[" + address.address.toText() + "]";
-        return host + ":" + std::to_string(address.port);
-    }
-
 } // namespace
 
 struct http_server::implementation {
@@ -109,6 +104,17 @@
         return response.status;
     }
 
+    // Requests that CivetWeb refuses before any handler sees them, for example without a valid request line.
+    static int refuse(mg_connection* connection, int status, char const* message)
+    {
+        auto const kind = status < 500 ? error_kind::InvalidArgument : error_kind::Internal;
+        auto response = makeErrorResponse({}, makeError(kind, message ? message : "the request is not valid HTTP"));
+        response.status = status;
+        mg_disable_keep_alive(connection);
+        send(connection, response);
+        return 0;
+    }
+
     http_response answer(mg_connection* connection, mg_request_info const& information) const
     {
         auto request = requestWithoutBody(information);
@@ -136,11 +142,14 @@
 absl::StatusOr<std::unique_ptr<http_server>> http_server::create(
     endpoint const& address, http_router router, http_limits const& limits)
 {
+    mg_init_library(0);
+    if (!address.address.isIpv4() && !mg_check_feature(ipv6Feature))
+        return makeError(error_kind::FailedPrecondition,
+            "HTTP cannot listen on " + address.toText() + ": CivetWeb was built without IPv6");
     auto state = std::make_unique<implementation>();
     state->router = std::move(router);
     state->limits = limits;
-    mg_init_library(0);
-    std::string const ports = optionText(address);
+    std::string const ports = address.toText();
     std::string const threads = std::to_string(limits.threads);
     std::string const timeout
         = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(limits.requestTimeout).count());
@@ -148,6 +157,7 @@
         "request_timeout_ms", timeout.c_str(), "enable_keep_alive", "no", nullptr };
     mg_callbacks callbacks {};
     callbacks.begin_request = implementation::begin;
+    callbacks.http_error = implementation::refuse;
     // CivetWeb writes its own lines to a file of its own otherwise; failures reach the caller instead.
     callbacks.log_message = [](mg_connection const*, char const*) { return 1; };
     std::array<char, 256> errorText {};
--- a/Libraries/OperatorInterface/http_server.h
+++ b/Libraries/OperatorInterface/http_server.h
@@ -23,14 +23,16 @@
     auto operator<=>(http_limits const&) const = default;
 };
 
-/// An HTTP/1.1 server on CivetWeb. Stops and waits for requests in progress on destruction.
+/// An HTTP/1.1 server on CivetWeb. Stops and waits for requests in progress on destruction, which takes up
+/// to 2 seconds, the interval at which CivetWeb looks at its stop flag.
 class http_server {
 public:
     /// Opens the port and starts to answer.
     /// @param address Where to listen; port 0 lets the kernel choose one.
     /// @param router Finds the handlers.
     /// @param limits Limits.
-    /// @return The server; Unavailable when the port cannot be opened.
+    /// @return The server; Unavailable when the port cannot be opened, FailedPrecondition for an IPv6 address when
+    ///     CivetWeb was built without IPv6, as in Debian 12.
     static absl::StatusOr<std::unique_ptr<http_server>> create(
         endpoint const& address, http_router router, http_limits const& limits = {});
 
