--- a/Libraries/Routing/admission_control.h
+++ b/Libraries/Routing/admission_control.h
@@ -51,7 +51,10 @@
         bool used = false;
     };
 
-    size_t firstSlot(server_id server) const { return (server.value * 0x9E3779B1U) & (m_slots.size() - 1); }
+    size_t firstSlot(server_id server) const
+    {
+        return (uint64_t { server.value } * 0x9E3779B1U) & (m_slots.size() - 1);
+    }
     slot const* find(server_id server) const;
 
     /// Open addressing with a power-of-two size, at most half full.
--- a/Libraries/Routing/flow_router.cpp
+++ b/Libraries/Routing/flow_router.cpp
@@ -14,6 +14,8 @@
 forwarding_action flow_router::route(parsed_packet const& packet, packet_origin const& origin, monotonic_time now)
 {
     observe(now);
+    if (packet.kind == packet_kind::TcpSyn && wasSuspended())
+        return drop_packet { drop_reason::RelayTooOld };
     if (origin && origin->relays > maximumRelays)
         return drop_packet { drop_reason::TooManyRelays };
     if (origin && std::chrono::milliseconds(origin->ageMilliseconds) > m_settings.maximumRelayAge)
@@ -79,6 +81,8 @@
 
 void flow_router::observe(monotonic_time now)
 {
+    if (m_now != monotonic_time::min() && now - m_now > m_settings.suspensionGap)
+        m_resumed = now;
     m_now = now;
     if (!m_viewChanged)
         return;
@@ -87,6 +91,11 @@
         routes.observe(now);
 }
 
+bool flow_router::wasSuspended() const
+{
+    return m_resumed != monotonic_time::min() && m_now - m_resumed < m_settings.suspensionHold;
+}
+
 bool flow_router::isSynchronised(monotonic_time now) const
 {
     return m_view->state == synchronisation::Synchronised && now <= m_view->synchronisedUntil;
--- a/Libraries/Routing/flow_router.h
+++ b/Libraries/Routing/flow_router.h
@@ -32,6 +32,7 @@
     void setView(std::shared_ptr<routing_view const> const& view);
 
     /// Forgets idle and closed flows and those of buckets that this host is no witness of, in small steps.
+    /// Must be called at least every 100 ms, also without traffic: a longer pause is taken for a suspension.
     /// @param now The time.
     /// @param entries About how many entries to visit.
     /// @return Number of entries forgotten.
@@ -93,6 +94,7 @@
     };
 
     void observe(monotonic_time now);
+    bool wasSuspended() const;
     bool isSynchronised(monotonic_time now) const;
     bool decidesAlone(monotonic_time now) const;
     service_routes const* routesOf(service_id service) const;
@@ -130,7 +132,8 @@
     admission_control m_admission;
     std::unordered_map<service_id, service_routes> m_routes;
     flow_table m_flows;
-    monotonic_time m_now;
+    monotonic_time m_now = monotonic_time::min();
+    monotonic_time m_resumed = monotonic_time::min();
     bool m_viewChanged = false;
     routing_counters m_counters;
 };
--- a/Libraries/Routing/flow_router_settings.h
+++ b/Libraries/Routing/flow_router_settings.h
@@ -25,6 +25,11 @@
     /// A SYN on a flow that closed less than this ago may be a duplicate and is dropped unless its server still
     /// takes new flows.
     std::chrono::milliseconds closedHold { 1'000 };
+    /// A pause this long between two calls means that the host was suspended; expire() is called more often than
+    /// that. Then packets may have waited in the socket, so SYNs are dropped for suspensionHold: one that is older
+    /// than synGrace could be taken for a new flow. Callers retransmit.
+    std::chrono::milliseconds suspensionGap { 500 };
+    std::chrono::milliseconds suspensionHold { 250 };
     auto operator<=>(flow_router_settings const&) const = default;
 };
 
--- a/Libraries/Routing/flow_segment.cpp
+++ b/Libraries/Routing/flow_segment.cpp
@@ -14,7 +14,7 @@
 flow_entry& flow_segment::insert(flow_entry const& entry)
 {
     // Above 0.85 the runs of linear probing grow quickly; growing by a quarter keeps at least 0.68 in use.
-    if ((m_size + 1) * 100 > m_homes * 85ULL)
+    if ((m_size + 1ULL) * 100 > m_homes * 85ULL)
         rebuild(std::max(smallestSegment, m_homes + m_homes / 4 + size_t { 1 }));
     while (!place(entry))
         rebuild(m_homes + m_homes / 4 + 1);
