--- a/Libraries/Coordination/balancer_coordinator.cpp
+++ b/Libraries/Coordination/balancer_coordinator.cpp
@@ -1,8 +1,6 @@
 #include <Coordination/balancer_coordinator.h>
 
 #include <Base/error_kind.h>
-#include <Coordination/table_transfer.h>
-#include <Routing/delta_builder.h>
 #include <algorithm>
 
 namespace bilberryyard {
@@ -13,38 +11,55 @@
     auto directory = server_directory::create(settings.self, settings.directory);
     if (!directory.ok())
         return directory.status();
-    return balancer_coordinator(settings, *std::move(directory), now);
+    auto peers = std::make_unique<peer_view>(settings.self, settings.zone, settings.peers, now);
+    peers->setConfiguredHosts(settings.entryHosts);
+    auto tables = table_coordinator::create(settings.planner, *peers);
+    if (!tables.ok())
+        return tables.status();
+    return balancer_coordinator(settings, *std::move(directory), std::move(peers), *std::move(tables));
 }
 
-balancer_coordinator::balancer_coordinator(
-    coordinator_settings const& settings, server_directory directory, monotonic_time now)
+balancer_coordinator::balancer_coordinator(coordinator_settings const& settings, server_directory directory,
+    std::unique_ptr<peer_view> peers, table_coordinator tableCoordinator)
     : m_settings(settings)
     , m_directory(std::move(directory))
-    , m_peers(settings.self, settings.zone, settings.peers, now)
+    , m_peers(std::move(peers))
+    , m_tableCoordinator(std::move(tableCoordinator))
     , m_filler(settings)
 {
-    m_peers.setConfiguredHosts(settings.entryHosts);
 }
 
-void balancer_coordinator::configure(coordinated_configuration const& configuration, monotonic_time now)
+absl::Status balancer_coordinator::configure(coordinated_configuration const& configuration, monotonic_time now)
 {
     if (configuration.revision < m_configuration.revision)
-        return;
+        return absl::OkStatus();
+    std::map<service_id, coordinated_service> services;
+    for (auto const& service : configuration.services) {
+        auto const traffic = service.protocol == ip_protocol::Udp ? service_traffic::Datagram : service_traffic::Stream;
+        services[service.id] = { traffic, service.bucketCount };
+    }
+    if (auto const status = m_tableCoordinator.setServices(services); !status.ok())
+        return status;
+    for (auto const& service : m_configuration.services) {
+        if (services.contains(service.id))
+            continue;
+        m_filler.remove(service.id);
+        m_scanners.erase(service.id);
+        m_judges.erase(service.id);
+        m_tables.erase(service.id);
+    }
     m_configuration = configuration;
-    std::map<service_id, uint32_t> bucketCounts;
-    for (auto const& service : configuration.services)
-        bucketCounts[service.id] = service.bucketCount;
-    for (auto const& [service, table] : m_follower.tables()) {
-        if (bucketCounts.contains(service))
+    for (auto const& service : configuration.services) {
+        if (m_judges.contains(service.id))
             continue;
-        m_filler.remove(service);
-        m_scanners.erase(service);
+        auto judge = health_judge::create(configuration.health);
+        if (!judge.ok())
+            return judge.status();
+        m_judges.emplace(service.id, *std::move(judge));
     }
-    m_follower.setServices(bucketCounts);
-    if (m_planner)
-        startPlanning();
-    tablesChanged();
+    refreshTables();
     sendHeartbeats(now);
+    return absl::OkStatus();
 }
 
 absl::StatusOr<server_id> balancer_coordinator::announce(server_announcement const& announcement, monotonic_time now)
@@ -62,67 +77,91 @@
 
 absl::Status balancer_coordinator::receive(coordination_message const& message, monotonic_time now)
 {
-    m_peers.advance(now);
-    return std::visit([&](auto const& body) { return handle(message.sender, body, now); }, message.body);
+    m_peers->advance(now);
+    auto status = std::visit([&](auto const& body) { return handle(message.sender, body, now); }, message.body);
+    acknowledgeTables();
+    return status;
 }
 
-void balancer_coordinator::receive(flow_result const& result, monotonic_time)
+void balancer_coordinator::receive(flow_result const& result, monotonic_time now)
 {
     if (auto const* exported = std::get_if<export_result>(&result)) {
         auto const& command = exported->command;
         send(command.receiver, fill_answer { command.service, command.cursor, exported->batch });
         return;
     }
+    if (auto const* counted = std::get_if<evidence_result>(&result)) {
+        observe(counted->evidence, now);
+        for (auto const& peer : m_peers->livePeers())
+            send(peer.host, evidence_message { counted->evidence });
+        return;
+    }
     auto const& settled = std::get<settle_result>(result);
     if (!settled.buckets.empty())
-        deliverReport(settled_report { settled.service, m_settings.self, settled.stamp, settled.buckets });
-}
-
-void balancer_coordinator::setHealth(std::map<server_id, double> weights, std::set<server_id> ejected)
-{
-    m_healthWeights = std::move(weights);
-    m_ejected = std::move(ejected);
+        send(m_tableCoordinator.report(
+            settled_report { settled.service, m_settings.self, settled.stamp, settled.buckets }));
 }
 
 void balancer_coordinator::step(monotonic_time now)
 {
-    m_peers.advance(now);
+    m_peers->advance(now);
     m_directory.expire(now);
     greetNewPeers(now);
-    updatePlannerRole(now);
-    if (m_planner)
-        runPlanner(now);
+    judgeServers(now);
+    runTables(now);
     for (auto& message : m_filler.step(now))
         m_messages.push_back(std::move(message));
-    reportToPlanner(now);
+    for (auto const& report : m_filler.takeFilled(now))
+        send(m_tableCoordinator.report(report));
     scanForSettling(now);
     if (!m_heartbeatAt || now - *m_heartbeatAt >= m_settings.heartbeatInterval)
         sendHeartbeats(now);
+    else
+        acknowledgeTables();
     if (!m_recordsAt || now - *m_recordsAt >= m_settings.recordInterval)
         sendRecords(now);
     refreshView(now);
 }
 
-void balancer_coordinator::send(host_id receiver, decltype(coordination_message::body) body)
+void balancer_coordinator::send(host_id receiver, coordination_message::body_type body)
 {
     m_messages.push_back({ receiver, { m_settings.self, std::move(body) } });
 }
 
+void balancer_coordinator::send(std::vector<addressed_message> messages)
+{
+    for (auto& message : messages)
+        send(message.receiver, std::move(message.message));
+}
+
 void balancer_coordinator::sendHeartbeatTo(host_id receiver)
 {
-    send(receiver,
-        heartbeat_message { m_peers.heartbeat(m_intent, m_follower.acknowledgement()), m_configuration.revision });
+    auto heartbeat = m_peers->heartbeat(
+        m_intent, m_tableCoordinator.acknowledgement(), m_tableCoordinator.announcements());
+    send(receiver, heartbeat_message { std::move(heartbeat), m_configuration.revision });
 }
 
 void balancer_coordinator::sendHeartbeats(monotonic_time now)
 {
     m_heartbeatAt = now;
+    m_sentAcknowledgement = m_tableCoordinator.acknowledgement();
     for (auto const host : m_settings.entryHosts) {
         if (host != m_settings.self.host)
             sendHeartbeatTo(host);
     }
 }
 
+void balancer_coordinator::acknowledgeTables()
+{
+    // The planner waits for every host before it goes on, so an acknowledgement does not wait for the next heartbeat.
+    auto const acknowledgement = m_tableCoordinator.acknowledgement();
+    if (acknowledgement == m_sentAcknowledgement)
+        return;
+    m_sentAcknowledgement = acknowledgement;
+    if (acknowledgement.planner.host != m_settings.self.host && !acknowledgement.versions.empty())
+        sendHeartbeatTo(acknowledgement.planner.host);
+}
+
 void balancer_coordinator::sendRecords(monotonic_time now)
 {
     m_recordsAt = now;
@@ -130,13 +169,13 @@
     m_sentRecordCounter = m_directory.changeCounter();
     if (records.empty())
         return;
-    for (auto const& peer : m_peers.livePeers())
+    for (auto const& peer : m_peers->livePeers())
         send(peer.host, records_message { records });
 }
 
 void balancer_coordinator::greetNewPeers(monotonic_time now)
 {
-    auto const live = m_peers.livePeers();
+    auto const live = m_peers->livePeers();
     for (auto const& peer : live) {
         if (m_greeted.contains(peer))
             continue;
@@ -151,7 +190,7 @@
 {
     if (message.heartbeat.sender != sender)
         return makeError(error_kind::InvalidArgument, "heartbeat of another host than the sender");
-    if (auto const status = m_peers.receive(message.heartbeat, now); !status.ok())
+    if (auto const status = m_peers->receive(message.heartbeat, now); !status.ok())
         return status;
     m_peerRevisions[sender.host] = message.configurationRevision;
     m_heardAt[sender.host] = now;
@@ -167,98 +206,43 @@
     return absl::OkStatus();
 }
 
-absl::Status balancer_coordinator::handle(routed_peer sender, delta_message const& message, monotonic_time)
-{
-    if (message.planner != sender)
-        return makeError(error_kind::InvalidArgument, "table change of another host than the sender");
-    if (m_follower.apply(message) != table_update::Changed)
-        return absl::OkStatus();
-    tablesChanged();
-    sendHeartbeatTo(sender.host);
-    return absl::OkStatus();
-}
-
-absl::Status balancer_coordinator::handle(routed_peer sender, table_request const& message, monotonic_time now)
+absl::Status balancer_coordinator::handle(routed_peer, evidence_message const& message, monotonic_time now)
 {
-    if (!m_planner)
-        return absl::OkStatus();
-    table_answer answer { m_settings.self, message.epoch, {}, {}, {} };
-    for (auto const& held : message.held) {
-        auto const own = m_planner->replicated(held.service);
-        if (!own)
-            continue;
-        if (!own->lineage.covers(held.lineage))
-            answer.wanted.push_back(held.service);
-        else if (own->table.digest() == held.digest)
-            answer.confirmed.push_back({ held.service, own->table.version(), own->lineage });
-        else
-            answer.tables.push_back(toTransfer(*own));
-    }
-    // Tables are only worth their bytes in a complete answer.
-    if (!answer.wanted.empty())
-        answer.tables.clear();
-    uint64_t bytes = 0;
-    for (auto const& table : answer.tables)
-        bytes += estimateDeltaBytes(table.snapshot);
-    m_planner->charge(bytes, now);
-    send(sender.host, std::move(answer));
+    observe(message.evidence, now);
     return absl::OkStatus();
 }
 
-absl::Status balancer_coordinator::handle(routed_peer sender, table_answer const& message, monotonic_time now)
+absl::Status balancer_coordinator::handle(routed_peer sender, table_message const& message, monotonic_time now)
 {
-    if (message.planner != sender)
-        return makeError(error_kind::InvalidArgument, "table answer of another host than the sender");
-    if (m_peers.planner() != sender || m_planner)
-        return absl::OkStatus();
-    if (!message.wanted.empty()) {
-        send(sender.host, m_follower.offer(message.wanted));
-        m_requestAt.reset();
-        return absl::OkStatus();
-    }
-    if (message.epoch != m_peers.epoch())
-        return absl::OkStatus();
-    m_follower.apply(message);
-    m_peers.tablesReceived(sender, message.epoch, now);
-    tablesChanged();
-    sendHeartbeatTo(sender.host);
+    auto const isOfSender = [&](auto const* report) { return !report || report->reporter == sender; };
+    if (!isOfSender(std::get_if<settled_report>(&message)) || !isOfSender(std::get_if<filled_report>(&message)))
+        return makeError(error_kind::InvalidArgument, "report of another host than the sender");
+    send(m_tableCoordinator.receive(sender, message, now));
     return absl::OkStatus();
 }
 
-absl::Status balancer_coordinator::handle(routed_peer, table_offer const& message, monotonic_time)
+bool balancer_coordinator::isWitness(routed_peer peer, bucket_table const& table, uint32_t index) const
 {
-    if (!m_planner)
-        return absl::OkStatus();
-    for (auto const& transfer : message.tables) {
-        auto const table = fromTransfer(transfer);
-        if (!table.ok())
-            return table.status();
-        if (auto const status = m_planner->offer(*table); !status.ok())
-            return status;
-    }
-    return absl::OkStatus();
+    auto const& value = table.at(index);
+    if (value.phase != bucket_phase::Tracked)
+        return true;
+    auto const& set = table.witnessesOf(value);
+    return std::any_of(set.groups.begin(), set.groups.begin() + set.count, [&](witness_group const& group) {
+        return std::any_of(group.witnesses.begin(), group.witnesses.begin() + group.count,
+            [&](witness const& entry) { return entry.host == peer.host && entry.incarnation == peer.incarnation; });
+    });
 }
 
 absl::Status balancer_coordinator::handle(routed_peer sender, fill_request const& message, monotonic_time)
 {
-    auto const table = m_follower.tables().find(message.service);
-    if (table == m_follower.tables().end())
+    auto const table = m_tables.find(message.service);
+    if (table == m_tables.end())
         return makeError(error_kind::NotFound, "fill request for an unknown service");
-    auto const count = table->second.table.bucketCount();
     // This host must know the requester's role: from then on new entries reach both, and the export has the rest.
     for (auto const index : message.buckets) {
-        if (index >= count)
+        if (index >= table->second->bucketCount())
             return makeError(error_kind::InvalidArgument, "fill request for a bucket that does not exist");
-        auto const& value = table->second.table.at(index);
-        if (value.phase != bucket_phase::Tracked)
-            continue;
-        auto const& set = table->second.table.witnessesOf(value);
-        bool const isKnown = std::any_of(set.groups.begin(), set.groups.begin() + set.count, [&](auto const& group) {
-            return std::any_of(group.witnesses.begin(), group.witnesses.begin() + group.count, [&](auto const& entry) {
-                return entry.host == sender.host && entry.incarnation == sender.incarnation;
-            });
-        });
-        if (!isKnown)
+        if (!isWitness(sender, *table->second, index))
             return absl::OkStatus();
     }
     m_commands.push_back(
@@ -266,79 +250,53 @@
     return absl::OkStatus();
 }
 
-absl::Status balancer_coordinator::handle(routed_peer sender, fill_answer const& message, monotonic_time now)
+absl::Status balancer_coordinator::handle(routed_peer sender, fill_answer const& message, monotonic_time)
 {
-    if (auto import = m_filler.receive(sender.host, message, now))
+    if (auto import = m_filler.receive(sender.host, message))
         m_commands.push_back(*std::move(import));
     return absl::OkStatus();
 }
 
-absl::Status balancer_coordinator::handle(routed_peer sender, settled_report const& message, monotonic_time)
-{
-    if (message.reporter != sender)
-        return makeError(error_kind::InvalidArgument, "settled report of another host than the sender");
-    if (m_planner)
-        m_planner->settled(message);
-    return absl::OkStatus();
-}
-
-absl::Status balancer_coordinator::handle(routed_peer sender, filled_report const& message, monotonic_time)
-{
-    if (message.reporter != sender)
-        return makeError(error_kind::InvalidArgument, "filled report of another host than the sender");
-    if (m_planner)
-        m_planner->filled(message);
-    return absl::OkStatus();
-}
-
 absl::Status balancer_coordinator::handle(routed_peer sender, leave_permission const&, monotonic_time)
 {
-    if (m_intent == host_intent::Leaving && m_peers.planner() == sender)
+    if (m_intent == host_intent::Leaving && m_peers->planner() == sender)
         m_mayLeave = true;
     return absl::OkStatus();
 }
 
-template <typename Report>
-void balancer_coordinator::deliverReport(Report const& report)
+void balancer_coordinator::runTables(monotonic_time now)
 {
-    auto const planner = m_peers.planner();
-    if (!planner)
-        return;
-    if (*planner != m_settings.self) {
-        send(planner->host, report);
-        return;
-    }
-    if constexpr (std::is_same_v<Report, settled_report>) {
-        if (m_planner)
-            m_planner->settled(report);
-    } else {
-        if (m_planner)
-            m_planner->filled(report);
+    send(m_tableCoordinator.step(plannerServers(now), m_intent, now));
+    for (auto const host : m_tableCoordinator.mayLeave()) {
+        if (host == m_settings.self.host)
+            m_mayLeave = true;
+        else
+            send(host, leave_permission {});
     }
+    refreshTables();
 }
 
-void balancer_coordinator::reportToPlanner(monotonic_time now)
+void balancer_coordinator::refreshTables()
 {
-    for (auto const& report : m_filler.takeFilled(now))
-        deliverReport(report);
+    for (auto const& service : m_configuration.services) {
+        auto const& table = m_tableCoordinator.table(service.id);
+        auto& shared = m_tables[service.id];
+        if (shared && *shared == table)
+            continue;
+        shared = std::make_shared<bucket_table const>(table);
+        m_filler.update(table);
+    }
 }
 
 void balancer_coordinator::scanForSettling(monotonic_time now)
 {
     for (auto const& service : m_configuration.services) {
-        auto const table = m_follower.tables().find(service.id);
-        if (service.protocol != ip_protocol::Tcp || table == m_follower.tables().end())
+        if (service.protocol != ip_protocol::Tcp)
             continue;
         auto& scanner = m_scanners.try_emplace(service.id, m_settings.self, m_settings.settleScan).first->second;
-        for (auto& command : scanner.step(table->second.table, m_configuration.flowIdleTimeout, now))
+        for (auto& command : scanner.step(*m_tables.at(service.id), m_configuration.flowIdleTimeout, now))
             m_commands.push_back(std::move(command));
     }
 }
 
-void balancer_coordinator::tablesChanged()
-{
-    for (auto const& [service, table] : m_follower.tables())
-        m_filler.update(table.table);
-}
-
 } // namespace bilberryyard
--- a/Libraries/Coordination/balancer_coordinator.h
+++ b/Libraries/Coordination/balancer_coordinator.h
@@ -5,13 +5,15 @@
 #include <Coordination/flow_state.h>
 #include <Coordination/forwarding_view.h>
 #include <Coordination/settle_scanner.h>
-#include <Coordination/table_follower.h>
 #include <Coordination/witness_filler.h>
-#include <Routing/table_planner.h>
+#include <Membership/health_judge.h>
+#include <Membership/table_coordinator.h>
 #include <absl/status/statusor.h>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace bilberryyard {
@@ -45,7 +47,8 @@
     static absl::StatusOr<balancer_coordinator> create(coordinator_settings const& settings, monotonic_time now);
 
     /// Takes a configuration; a lower revision than the one in force has no effect.
-    void configure(coordinated_configuration const& configuration, monotonic_time now);
+    /// @return InvalidArgument for a change that needs a new service, such as another bucket count.
+    absl::Status configure(coordinated_configuration const& configuration, monotonic_time now);
 
     /// Takes an announcement of a backend server.
     /// @return Its number, or the error of server_directory::announce(); NotFound for an unknown service.
@@ -58,9 +61,6 @@
     /// Takes an answer of the flow router's thread.
     void receive(flow_result const& result, monotonic_time now);
 
-    /// Replaces the weights that the health judge derives, by server number.
-    void setHealth(std::map<server_id, double> weights, std::set<server_id> ejected);
-
     /// Begins a graceful stop of this host.
     void leave() { m_intent = host_intent::Leaving; }
 
@@ -77,15 +77,12 @@
     /// @return The view when it has changed since the last call, else null.
     std::shared_ptr<forwarding_view const> takeView() { return std::exchange(m_newView, nullptr); }
 
-    synchronisation state() const { return m_peers.state(); }
-    std::optional<routed_peer> planner() const { return m_peers.planner(); }
+    synchronisation state() const { return m_peers->state(); }
+    std::optional<routed_peer> planner() const { return m_peers->planner(); }
     uint64_t configurationRevision() const { return m_configuration.revision; }
     coordinated_configuration const& configuration() const { return m_configuration; }
-    std::map<service_id, replicated_table> const& tables() const { return m_follower.tables(); }
-    std::map<service_id, std::shared_ptr<bucket_table const>> const& sharedTables() const
-    {
-        return m_follower.sharedTables();
-    }
+    /// @return The tables by service, as they were at the last step.
+    std::map<service_id, std::shared_ptr<bucket_table const>> const& tables() const { return m_tables; }
     /// @param now The time.
     /// @return One row for each live entry host, this one first.
     std::vector<host_status> hosts(monotonic_time now) const;
@@ -94,63 +91,62 @@
     server_directory const& directory() const { return m_directory; }
 
 private:
-    balancer_coordinator(coordinator_settings const& settings, server_directory directory, monotonic_time now);
+    balancer_coordinator(coordinator_settings const& settings, server_directory directory,
+        std::unique_ptr<peer_view> peers, table_coordinator tableCoordinator);
 
-    void send(host_id receiver, decltype(coordination_message::body) body);
+    void send(host_id receiver, coordination_message::body_type body);
+    void send(std::vector<addressed_message> messages);
     void sendHeartbeats(monotonic_time now);
     void sendHeartbeatTo(host_id receiver);
+    void acknowledgeTables();
     void sendRecords(monotonic_time now);
     void greetNewPeers(monotonic_time now);
 
     absl::Status handle(routed_peer sender, heartbeat_message const& message, monotonic_time now);
     absl::Status handle(routed_peer sender, records_message const& message, monotonic_time now);
-    absl::Status handle(routed_peer sender, delta_message const& message, monotonic_time now);
-    absl::Status handle(routed_peer sender, table_request const& message, monotonic_time now);
-    absl::Status handle(routed_peer sender, table_answer const& message, monotonic_time now);
-    absl::Status handle(routed_peer sender, table_offer const& message, monotonic_time now);
+    absl::Status handle(routed_peer sender, evidence_message const& message, monotonic_time now);
+    absl::Status handle(routed_peer sender, table_message const& message, monotonic_time now);
     absl::Status handle(routed_peer sender, fill_request const& message, monotonic_time now);
     absl::Status handle(routed_peer sender, fill_answer const& message, monotonic_time now);
-    absl::Status handle(routed_peer sender, settled_report const& message, monotonic_time now);
-    absl::Status handle(routed_peer sender, filled_report const& message, monotonic_time now);
     absl::Status handle(routed_peer sender, leave_permission const& message, monotonic_time now);
 
-    void updatePlannerRole(monotonic_time now);
-    void startPlanning();
-    void followPlanner(routed_peer planner, monotonic_time now);
-    void runPlanner(monotonic_time now);
-    planner_input plannerInput(monotonic_time now) const;
-    void tablesChanged();
-    void reportToPlanner(monotonic_time now);
+    bool isWitness(routed_peer peer, bucket_table const& table, uint32_t index) const;
+    void runTables(monotonic_time now);
+    void refreshTables();
     void scanForSettling(monotonic_time now);
-    template <typename Report>
-    void deliverReport(Report const& report);
+    void observe(std::vector<handshake_evidence> const& evidence, monotonic_time now);
+    void judgeServers(monotonic_time now);
+    std::map<service_id, std::vector<planner_server>> plannerServers(monotonic_time now) const;
 
     server_condition conditionOf(directory_entry const& entry, monotonic_time now) const;
     server_override const* overrideOf(directory_entry const& entry) const;
     uint32_t limitOf(directory_entry const& entry) const;
-    coordinated_service const* findService(service_id id) const;
+    routed_service const* findService(service_id id) const;
     void refreshView(monotonic_time now);
     std::shared_ptr<routing_view> buildRoutingView(monotonic_time now) const;
 
     coordinator_settings m_settings;
     coordinated_configuration m_configuration;
     server_directory m_directory;
-    peer_view m_peers;
-    table_follower m_follower;
-    std::optional<table_planner> m_planner;
+    /// Held by pointer, because the table coordinator refers to it.
+    std::unique_ptr<peer_view> m_peers;
+    table_coordinator m_tableCoordinator;
     witness_filler m_filler;
     std::map<service_id, settle_scanner> m_scanners;
-    std::map<server_id, double> m_healthWeights;
-    std::set<server_id> m_ejected;
+    std::map<service_id, health_judge> m_judges;
+    std::map<server_id, health_verdict> m_verdicts;
+    std::map<server_id, report_stamp> m_judgedReports;
+    std::map<service_id, std::shared_ptr<bucket_table const>> m_tables;
     std::map<host_id, uint64_t> m_peerRevisions;
     std::map<host_id, monotonic_time> m_heardAt;
     std::set<routed_peer> m_greeted;
+    table_acknowledgement m_sentAcknowledgement;
     host_intent m_intent = host_intent::Staying;
     bool m_mayLeave = false;
 
     std::optional<monotonic_time> m_heartbeatAt;
     std::optional<monotonic_time> m_recordsAt;
-    std::optional<monotonic_time> m_requestAt;
+    std::optional<monotonic_time> m_judgedAt;
     uint64_t m_sentRecordCounter = 0;
 
     std::vector<outgoing_message> m_messages;
--- a/Libraries/Coordination/balancer_coordinator_planning.cpp
+++ b/Libraries/Coordination/balancer_coordinator_view.cpp
@@ -1,113 +1,78 @@
-// The planner's side of balancer_coordinator, and the view that follows from its state.
+// The backend servers as balancer_coordinator sees them, and the view that follows from its state.
 #include <Coordination/balancer_coordinator.h>
 
-#include <Coordination/table_transfer.h>
 #include <algorithm>
 
 namespace bilberryyard {
 
-void balancer_coordinator::updatePlannerRole(monotonic_time now)
-{
-    auto const planner = m_peers.planner();
-    if (planner == m_settings.self) {
-        if (!m_planner)
-            startPlanning();
-        return;
-    }
-    if (m_planner) {
-        m_planner.reset();
-        m_follower.unfollow();
-    }
-    if (planner && (m_follower.followed() != planner || m_peers.state() == synchronisation::Unsynchronised))
-        followPlanner(*planner, now);
-}
+namespace {
 
-void balancer_coordinator::startPlanning()
+    constexpr duration judgeInterval = std::chrono::milliseconds { 250 };
+
+} // namespace
+
+void balancer_coordinator::observe(std::vector<handshake_evidence> const& evidence, monotonic_time now)
 {
-    auto settings = m_configuration.planner;
-    auto planner = table_planner::create(settings, m_settings.self);
-    if (!planner.ok())
-        planner = table_planner::create({}, m_settings.self);
-    m_planner = *std::move(planner);
-    for (auto const& service : m_configuration.services) {
-        auto const table = m_follower.tables().find(service.id);
-        if (table == m_follower.tables().end())
+    for (auto const& counted : evidence) {
+        auto const* entry = m_directory.find(counted.server);
+        if (!entry)
+            continue;
+        auto const judge = m_judges.find(entry->announcement.key.service);
+        if (judge == m_judges.end())
             continue;
-        auto const traffic = service.protocol == ip_protocol::Udp ? service_traffic::Datagram : service_traffic::Stream;
-        // The follower holds one table a service, so no service is added twice.
-        m_planner->addService(traffic, table->second).IgnoreError();
-        m_follower.adopt(m_settings.self, *m_planner->replicated(service.id));
+        auto canonical = counted;
+        canonical.server = entry->id;
+        judge->second.observe(canonical, now);
     }
 }
 
-void balancer_coordinator::followPlanner(routed_peer planner, monotonic_time now)
+void balancer_coordinator::judgeServers(monotonic_time now)
 {
-    if (m_requestAt && now - *m_requestAt < m_settings.requestInterval)
+    if (m_judgedAt && now - *m_judgedAt < judgeInterval)
         return;
-    m_requestAt = now;
-    send(planner.host, m_follower.request(m_peers.epoch()));
-}
-
-void balancer_coordinator::runPlanner(monotonic_time now)
-{
-    auto const output = m_planner->step(plannerInput(now));
-    for (auto const& delta : output.deltas) {
-        for (auto const& peer : m_peers.livePeers())
-            send(peer.host, delta_message { m_settings.self, delta });
-    }
-    bool isChanged = !output.deltas.empty();
-    for (auto const& service : m_configuration.services) {
-        auto const table = m_planner->replicated(service.id);
-        auto const held = m_follower.tables().find(service.id);
-        if (!table || (held != m_follower.tables().end() && held->second.table.version() == table->table.version()))
+    m_judgedAt = now;
+    std::map<service_id, std::set<server_id>> serving;
+    for (auto const& entry : m_directory.entries()) {
+        auto const& announcement = entry.announcement;
+        auto const judge = m_judges.find(announcement.key.service);
+        if (judge == m_judges.end() || announcement.state != server_state::Serving || !m_directory.isLeased(entry, now))
             continue;
-        m_follower.adopt(m_settings.self, *table);
-        isChanged = true;
-    }
-    if (isChanged)
-        tablesChanged();
-    for (auto const host : output.mayLeave) {
-        if (host == m_settings.self.host)
-            m_mayLeave = true;
-        else
-            send(host, leave_permission {});
+        serving[announcement.key.service].insert(entry.id);
+        auto& judged = m_judgedReports[entry.id];
+        if (judged == entry.stamp)
+            continue;
+        judged = entry.stamp;
+        judge->second.report(entry.id, announcement, now);
     }
+    m_verdicts.clear();
+    for (auto& [service, judge] : m_judges)
+        m_verdicts.merge(judge.judge(serving[service], now));
 }
 
-planner_input balancer_coordinator::plannerInput(monotonic_time now) const
+std::map<service_id, std::vector<planner_server>> balancer_coordinator::plannerServers(monotonic_time now) const
 {
-    planner_input input { now, m_settings.self, {}, m_settings.entryHosts, {} };
-    planner_host self { m_settings.self, m_settings.zone, m_intent == host_intent::Leaving, {} };
-    for (auto const& [service, table] : m_follower.tables())
-        self.acknowledged[service] = table.table.version();
-    input.hosts.push_back(self);
-    for (auto const& heartbeat : m_peers.liveHeartbeats()) {
-        planner_host host { heartbeat.sender, heartbeat.zone, heartbeat.intent == host_intent::Leaving, {} };
-        if (heartbeat.acknowledgement.planner == m_settings.self)
-            host.acknowledged = heartbeat.acknowledgement.versions;
-        input.hosts.push_back(std::move(host));
-    }
+    std::map<service_id, std::vector<planner_server>> result;
     for (auto const& service : m_configuration.services)
-        input.servers[service.id] = {};
+        result[service.id] = {};
     for (auto const& entry : m_directory.entries()) {
         auto const* service = findService(entry.announcement.key.service);
         if (!service)
             continue;
         auto const* exception = overrideOf(entry);
-        auto const health = m_healthWeights.find(entry.id);
-        auto const weight = service->weight * (exception ? exception->weight : 1.0)
-            * (health == m_healthWeights.end() ? 1.0 : health->second);
-        input.servers[service->id].push_back({ entry.id, conditionOf(entry, now), weight, limitOf(entry),
-            entry.announcement.load.openConnections, entry.servingSince });
+        auto const verdict = m_verdicts.find(entry.id);
+        auto const health = verdict == m_verdicts.end() ? health_verdict {} : verdict->second;
+        auto const weight = service->weight * (exception ? exception->weight : 1.0) * health.weight;
+        result[service->id].push_back({ entry.id, conditionOf(entry, now), weight, limitOf(entry),
+            entry.announcement.load.openConnections, std::max(entry.servingSince, health.returnedAt) });
     }
-    return input;
+    return result;
 }
 
-coordinated_service const* balancer_coordinator::findService(service_id id) const
+routed_service const* balancer_coordinator::findService(service_id id) const
 {
     auto const& services = m_configuration.services;
     auto const found = std::find_if(
-        services.begin(), services.end(), [id](coordinated_service const& service) { return service.id == id; });
+        services.begin(), services.end(), [id](routed_service const& service) { return service.id == id; });
     return found == services.end() ? nullptr : &*found;
 }
 
@@ -134,15 +99,17 @@
 
 server_condition balancer_coordinator::conditionOf(directory_entry const& entry, monotonic_time now) const
 {
-    auto zones = m_peers.reachableZones();
+    auto zones = m_peers->reachableZones();
     // With every entry host in the view no zone is cut off, so silence of a server means that it failed.
-    if (m_peers.isFull())
+    if (m_peers->isFull())
         zones.insert(entry.announcement.zone);
     auto const condition = m_directory.conditionOf(entry, zones, now);
     if (condition != server_condition::Accepting)
         return condition;
     auto const* exception = overrideOf(entry);
-    if ((exception && exception->drain) || m_ejected.contains(entry.id))
+    auto const verdict = m_verdicts.find(entry.id);
+    bool const isEjected = verdict != m_verdicts.end() && verdict->second.isEjected;
+    if ((exception && exception->drain) || isEjected)
         return server_condition::Closed;
     return condition;
 }
@@ -151,12 +118,12 @@
 {
     auto view = std::make_shared<routing_view>();
     view->self = m_settings.self;
-    view->state = m_peers.state();
-    view->peers = m_peers.livePeers();
+    view->state = m_peers->state();
+    view->peers = m_peers->livePeers();
     view->hashSeed = m_settings.hashSeed;
     view->flowIdleTimeout = m_configuration.flowIdleTimeout;
     view->datagramIdleTimeout = m_configuration.datagramIdleTimeout;
-    view->tables = m_follower.sharedTables();
+    view->tables = m_tables;
     for (auto const& service : m_configuration.services) {
         for (auto const& address : service.addresses)
             view->endpoints.push_back({ address, service.port, service.protocol, service.id });
@@ -192,9 +159,9 @@
 
 std::vector<host_status> balancer_coordinator::hosts(monotonic_time now) const
 {
-    std::vector<host_status> rows { { m_settings.self, m_settings.zone, m_peers.state(), m_intent,
+    std::vector<host_status> rows { { m_settings.self, m_settings.zone, m_peers->state(), m_intent,
         m_configuration.revision, duration::zero() } };
-    for (auto const& heartbeat : m_peers.liveHeartbeats()) {
+    for (auto const& heartbeat : m_peers->liveHeartbeats()) {
         auto const host = heartbeat.sender.host;
         rows.push_back({ heartbeat.sender, heartbeat.zone, heartbeat.state, heartbeat.intent, m_peerRevisions.at(host),
             now - m_heardAt.at(host) });
--- a/Libraries/Coordination/coordination_message.h
+++ b/Libraries/Coordination/coordination_message.h
@@ -1,14 +1,12 @@
 #pragma once
 
+#include <Membership/health_types.h>
 #include <Membership/peer_view.h>
 #include <Membership/server_record.h>
-#include <Routing/bucket_table.h>
+#include <Membership/table_message.h>
 #include <Routing/flow_explanation.h>
 #include <Routing/planner_types.h>
-#include <Routing/replicated_table.h>
-#include <compare>
 #include <cstdint>
-#include <string>
 #include <variant>
 #include <vector>
 
@@ -28,61 +26,10 @@
     auto operator<=>(records_message const&) const = default;
 };
 
-/// Changes that the planner publishes.
-struct delta_message {
-    routed_peer planner;
-    table_delta delta;
-    auto operator<=>(delta_message const&) const = default;
-};
-
-/// What a host holds of one service's table.
-struct table_summary {
-    service_id service;
-    /// bucket_table::digest().
-    uint64_t digest = 0;
-    table_lineage lineage;
-    auto operator<=>(table_summary const&) const = default;
-};
-
-/// Asks the planner for its tables, stating those that the sender holds.
-struct table_request {
-    /// peer_view::epoch() of the sender, returned in the answer.
-    uint64_t epoch = 0;
-    std::vector<table_summary> held;
-    auto operator<=>(table_request const&) const = default;
-};
-
-/// A table in transport form.
-struct table_transfer {
-    table_delta snapshot;
-    uint32_t bucketCount = 0;
-    table_lineage lineage;
-    auto operator<=>(table_transfer const&) const = default;
-};
-
-/// A table that the requester holds already, but for its version and lineage.
-struct table_confirmation {
-    service_id service;
-    uint64_t version = 0;
-    table_lineage lineage;
-    auto operator<=>(table_confirmation const&) const = default;
-};
-
-/// The planner's answer. While `wanted` is not empty the answer is incomplete: the requester offers these
-/// tables first, because they contain changes that the planner does not know.
-struct table_answer {
-    routed_peer planner;
-    uint64_t epoch = 0;
-    std::vector<service_id> wanted;
-    std::vector<table_confirmation> confirmed;
-    std::vector<table_transfer> tables;
-    auto operator<=>(table_answer const&) const = default;
-};
-
-/// Tables that the planner asked for.
-struct table_offer {
-    std::vector<table_transfer> tables;
-    auto operator<=>(table_offer const&) const = default;
+/// What the sender's packet thread counted since its last evidence.
+struct evidence_message {
+    std::vector<handshake_evidence> evidence;
+    auto operator<=>(evidence_message const&) const = default;
 };
 
 /// Asks a complete witness for the next explicit entries of buckets that the sender fills.
@@ -109,18 +56,19 @@
 
 /// A message between the coordinators of two entry hosts.
 struct coordination_message {
+    using body_type = std::variant<heartbeat_message, records_message, evidence_message, table_message, fill_request,
+        fill_answer, leave_permission>;
+
     routed_peer sender;
-    std::variant<heartbeat_message, records_message, delta_message, table_request, table_answer, table_offer,
-        fill_request, fill_answer, settled_report, filled_report, leave_permission>
-        body;
-    auto operator<=>(coordination_message const&) const = default;
+    body_type body;
+    bool operator==(coordination_message const&) const = default;
 };
 
 /// A message with the host that it goes to.
 struct outgoing_message {
     host_id receiver;
     coordination_message message;
-    auto operator<=>(outgoing_message const&) const = default;
+    bool operator==(outgoing_message const&) const = default;
 };
 
 } // namespace bilberryyard
--- a/Libraries/Coordination/coordinator_settings.h
+++ b/Libraries/Coordination/coordinator_settings.h
@@ -2,6 +2,7 @@
 
 #include <Base/identifiers.h>
 #include <Base/monotonic_time.h>
+#include <Membership/health_types.h>
 #include <Membership/peer_view.h>
 #include <Membership/server_directory.h>
 #include <Packet/ip_endpoint.h>
@@ -17,7 +18,7 @@
 namespace bilberryyard {
 
 /// A service as the coordinator needs it.
-struct coordinated_service {
+struct routed_service {
     service_id id;
     std::string name;
     std::vector<ip_address> addresses;
@@ -27,7 +28,7 @@
     double weight = 1.0;
     /// Upper bound on the limit that a server announces; 0 means none.
     uint32_t connectionLimit = 0;
-    auto operator<=>(coordinated_service const&) const = default;
+    auto operator<=>(routed_service const&) const = default;
 };
 
 /// An exception on one backend server.
@@ -41,12 +42,13 @@
 /// The part of a configuration revision that the data plane acts on.
 struct coordinated_configuration {
     uint64_t revision = 0;
-    std::vector<coordinated_service> services;
+    std::vector<routed_service> services;
     std::map<std::string, zone_id> zones;
     std::map<ip_endpoint, server_override> serverOverrides;
     std::chrono::milliseconds flowIdleTimeout { 900'000 };
     std::chrono::milliseconds datagramIdleTimeout { 30'000 };
     planner_settings planner;
+    health_settings health;
     auto operator<=>(coordinated_configuration const&) const = default;
 };
 
@@ -59,6 +61,7 @@
     uint64_t hashSeed = 0;
     peer_settings peers;
     directory_settings directory;
+    planner_settings planner;
     /// Heartbeats a second decide how fast a failure is noticed; five fit into 2 s with one of them lost.
     duration heartbeatInterval = std::chrono::milliseconds { 400 };
     /// Load reports need not be fresher than the announcements, which come every second.
--- a/Libraries/Coordination/flow_state.h
+++ b/Libraries/Coordination/flow_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Membership/health_types.h>
 #include <Routing/flow_explanation.h>
 #include <Routing/routing_view.h>
 #include <compare>
@@ -52,6 +53,12 @@
     auto operator<=>(settle_result const&) const = default;
 };
 
-using flow_result = std::variant<export_result, settle_result>;
+/// Counts of handshakes by server since the last result.
+struct evidence_result {
+    std::vector<handshake_evidence> evidence;
+    auto operator<=>(evidence_result const&) const = default;
+};
+
+using flow_result = std::variant<export_result, settle_result, evidence_result>;
 
 } // namespace bilberryyard
--- a/Libraries/Coordination/witness_filler.cpp
+++ b/Libraries/Coordination/witness_filler.cpp
@@ -97,7 +97,7 @@
     return { { active.source, { m_settings.self, fill_request { active.service, active.buckets, active.cursor } } } };
 }
 
-std::optional<import_command> witness_filler::receive(host_id sender, fill_answer const& answer, monotonic_time)
+std::optional<import_command> witness_filler::receive(host_id sender, fill_answer const& answer)
 {
     if (m_transfers.empty())
         return std::nullopt;
--- a/Libraries/Coordination/witness_filler.h
+++ b/Libraries/Coordination/witness_filler.h
@@ -26,9 +26,8 @@
     /// Takes a part.
     /// @param sender Who sent it.
     /// @param answer The part.
-    /// @param now The time.
     /// @return The entries to add, when the part was the awaited one.
-    std::optional<import_command> receive(host_id sender, fill_answer const& answer, monotonic_time now);
+    std::optional<import_command> receive(host_id sender, fill_answer const& answer);
 
     /// @param now The time.
     /// @return The next request, when one is due.
--- a/Libraries/CoordinationCodec/coordination_codec.cpp
+++ b/Libraries/CoordinationCodec/coordination_codec.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    using body_type = decltype(coordination_message::body);
+    using body_type = coordination_message::body_type;
 
     void encodeCursor(transfer_cursor const& cursor, messages::Cursor& message)
     {
@@ -38,45 +38,31 @@
         *message.mutable_records() = encodeRecords(value);
     }
 
-    void encodeBody(delta_message const& value, messages::CoordinationMessage& message)
+    void encodeBody(evidence_message const& value, messages::CoordinationMessage& message)
     {
-        *message.mutable_delta() = encodeDelta(value.delta);
+        *message.mutable_evidence() = encodeEvidence(value);
+    }
+
+    void encodeBody(table_delta const& value, messages::CoordinationMessage& message)
+    {
+        *message.mutable_delta() = encodeDelta(value);
     }
 
     void encodeBody(table_request const& value, messages::CoordinationMessage& message)
     {
-        auto* request = message.mutable_table_request();
-        request->set_epoch(value.epoch);
-        for (auto const& held : value.held) {
-            auto* summary = request->add_held();
-            summary->set_service(held.service.value);
-            summary->set_digest(held.digest);
-            *summary->mutable_lineage() = encodeLineage(held.lineage);
-        }
+        message.mutable_table_request()->set_service(value.service.value);
+        message.mutable_table_request()->set_epoch(value.epoch);
     }
 
-    void encodeBody(table_answer const& value, messages::CoordinationMessage& message)
+    void encodeBody(table_snapshot const& value, messages::CoordinationMessage& message)
     {
-        auto* answer = message.mutable_table_answer();
-        *answer->mutable_planner() = encodePeer(value.planner);
-        answer->set_epoch(value.epoch);
-        for (auto const service : value.wanted)
-            answer->add_wanted(service.value);
-        for (auto const& confirmed : value.confirmed) {
-            auto* item = answer->add_confirmed();
-            item->set_service(confirmed.service.value);
-            item->set_version(confirmed.version);
-            *item->mutable_lineage() = encodeLineage(confirmed.lineage);
-        }
-        for (auto const& table : value.tables)
-            *answer->add_tables() = encodeTransfer(table);
+        *message.mutable_table_snapshot()->mutable_table() = encodeTable(value.content);
+        message.mutable_table_snapshot()->set_epoch(value.epoch);
     }
 
     void encodeBody(table_offer const& value, messages::CoordinationMessage& message)
     {
-        auto* offer = message.mutable_table_offer();
-        for (auto const& table : value.tables)
-            *offer->add_tables() = encodeTransfer(table);
+        *message.mutable_table_offer() = encodeTable(value.content);
     }
 
     void encodeBody(fill_request const& value, messages::CoordinationMessage& message)
@@ -125,45 +111,25 @@
         message.mutable_leave_permission();
     }
 
-    absl::StatusOr<body_type> decodeTables(google::protobuf::RepeatedPtrField<messages::TableTransfer> const& messages,
-        std::vector<table_transfer>& tables)
+    void encodeBody(table_message const& value, messages::CoordinationMessage& message)
     {
-        for (auto const& item : messages) {
-            auto table = decodeTransfer(item);
-            if (!table.ok())
-                return table.status();
-            tables.push_back(*std::move(table));
-        }
-        return body_type {};
+        std::visit([&message](auto const& body) { encodeBody(body, message); }, value);
     }
 
-    absl::StatusOr<body_type> decodeTableRequest(messages::TableRequest const& message)
+    absl::StatusOr<body_type> decodeSnapshot(messages::TableSnapshot const& message)
     {
-        table_request request { message.epoch(), {} };
-        for (auto const& item : message.held())
-            request.held.push_back({ service_id { item.service() }, item.digest(), decodeLineage(item.lineage()) });
-        return body_type { std::move(request) };
-    }
-
-    absl::StatusOr<body_type> decodeTableAnswer(messages::TableAnswer const& message)
-    {
-        table_answer answer { decodePeer(message.planner()), message.epoch(), {}, {}, {} };
-        for (auto const service : message.wanted())
-            answer.wanted.push_back(service_id { service });
-        for (auto const& item : message.confirmed())
-            answer.confirmed.push_back(
-                { service_id { item.service() }, item.version(), decodeLineage(item.lineage()) });
-        if (auto const tables = decodeTables(message.tables(), answer.tables); !tables.ok())
-            return tables.status();
-        return body_type { std::move(answer) };
+        auto table = decodeTable(message.table());
+        if (!table.ok())
+            return table.status();
+        return body_type { table_message { table_snapshot { *std::move(table), message.epoch() } } };
     }
 
-    absl::StatusOr<body_type> decodeTableOffer(messages::TableOffer const& message)
+    absl::StatusOr<body_type> decodeOffer(messages::TableTransfer const& message)
     {
-        table_offer offer;
-        if (auto const tables = decodeTables(message.tables(), offer.tables); !tables.ok())
-            return tables.status();
-        return body_type { std::move(offer) };
+        auto table = decodeTable(message);
+        if (!table.ok())
+            return table.status();
+        return body_type { table_message { table_offer { *std::move(table) } } };
     }
 
     absl::StatusOr<body_type> decodeFillRequest(messages::FillRequest const& message)
@@ -191,12 +157,12 @@
         return body_type { std::move(answer) };
     }
 
-    absl::StatusOr<body_type> decodeDeltaMessage(messages::TableDelta const& message, routed_peer sender)
+    absl::StatusOr<body_type> decodeDeltaMessage(messages::TableDelta const& message)
     {
         auto delta = decodeDelta(message);
         if (!delta.ok())
             return delta.status();
-        return body_type { delta_message { sender, *std::move(delta) } };
+        return body_type { table_message { *std::move(delta) } };
     }
 
     absl::StatusOr<body_type> decodeSettled(messages::BucketReport const& message, routed_peer sender)
@@ -204,8 +170,8 @@
         auto buckets = decodeBuckets(message);
         if (!buckets.ok())
             return buckets.status();
-        return body_type { settled_report { service_id { message.service() }, sender,
-            { message.stamp().counter(), host_id { message.stamp().author() } }, *std::move(buckets) } };
+        return body_type { table_message { settled_report { service_id { message.service() }, sender,
+            { message.stamp().counter(), host_id { message.stamp().author() } }, *std::move(buckets) } } };
     }
 
     absl::StatusOr<body_type> decodeFilled(messages::BucketReport const& message, routed_peer sender)
@@ -213,7 +179,8 @@
         auto buckets = decodeBuckets(message);
         if (!buckets.ok())
             return buckets.status();
-        return body_type { filled_report { service_id { message.service() }, sender, *std::move(buckets) } };
+        return body_type { table_message {
+            filled_report { service_id { message.service() }, sender, *std::move(buckets) } } };
     }
 
     absl::StatusOr<body_type> decodeBody(messages::CoordinationMessage const& message, routed_peer sender)
@@ -225,13 +192,16 @@
         case kind::kRecords:
             return decodeRecords(message.records());
         case kind::kDelta:
-            return decodeDeltaMessage(message.delta(), sender);
+            return decodeDeltaMessage(message.delta());
         case kind::kTableRequest:
-            return decodeTableRequest(message.table_request());
-        case kind::kTableAnswer:
-            return decodeTableAnswer(message.table_answer());
+            return body_type { table_message {
+                table_request { service_id { message.table_request().service() }, message.table_request().epoch() } } };
+        case kind::kTableSnapshot:
+            return decodeSnapshot(message.table_snapshot());
         case kind::kTableOffer:
-            return decodeTableOffer(message.table_offer());
+            return decodeOffer(message.table_offer());
+        case kind::kEvidence:
+            return decodeEvidence(message.evidence());
         case kind::kFillRequest:
             return decodeFillRequest(message.fill_request());
         case kind::kFillAnswer:
--- a/Libraries/CoordinationCodec/membership_codec.cpp
+++ b/Libraries/CoordinationCodec/membership_codec.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    using body_type = decltype(coordination_message::body);
+    using body_type = coordination_message::body_type;
 
     constexpr size_t ipv4Size = 4;
     constexpr size_t ipv6Size = 16;
@@ -87,6 +87,12 @@
         item->set_version(version);
     }
     message.set_configuration_revision(value.configurationRevision);
+    for (auto const& [service, table] : value.heartbeat.tables) {
+        auto* item = message.add_tables();
+        item->set_service(service.value);
+        item->set_version(table.version);
+        item->set_digest(table.digest);
+    }
     return message;
 }
 
@@ -105,6 +111,8 @@
     heartbeat.acknowledgement.planner = decodePeer(message.planner());
     for (auto const& item : message.applied())
         heartbeat.acknowledgement.versions[service_id { item.service() }] = item.version();
+    for (auto const& item : message.tables())
+        heartbeat.tables[service_id { item.service() }] = { item.version(), item.digest() };
     return body_type { heartbeat_message { std::move(heartbeat), message.configuration_revision() } };
 }
 
@@ -128,4 +136,26 @@
     return body_type { std::move(result) };
 }
 
+messages::EvidenceList encodeEvidence(evidence_message const& value)
+{
+    messages::EvidenceList message;
+    for (auto const& counted : value.evidence) {
+        auto* item = message.add_evidence();
+        item->set_server(counted.server.value);
+        item->set_started(counted.started);
+        item->set_retransmitted(counted.retransmitted);
+        item->set_progressed(counted.progressed);
+    }
+    return message;
+}
+
+body_type decodeEvidence(messages::EvidenceList const& message)
+{
+    evidence_message result;
+    for (auto const& item : message.evidence())
+        result.evidence.push_back(
+            { server_id { item.server() }, item.started(), item.retransmitted(), item.progressed() });
+    return result;
+}
+
 } // namespace bilberryyard
--- a/Libraries/CoordinationCodec/membership_codec.h
+++ b/Libraries/CoordinationCodec/membership_codec.h
@@ -10,10 +10,12 @@
 /// because it exposes protobuf types.
 
 messages::Heartbeat encodeHeartbeat(heartbeat_message const& value);
-absl::StatusOr<decltype(coordination_message::body)> decodeHeartbeat(
-    messages::Heartbeat const& message, routed_peer sender);
+absl::StatusOr<coordination_message::body_type> decodeHeartbeat(messages::Heartbeat const& message, routed_peer sender);
 
 messages::Records encodeRecords(records_message const& value);
-absl::StatusOr<decltype(coordination_message::body)> decodeRecords(messages::Records const& message);
+absl::StatusOr<coordination_message::body_type> decodeRecords(messages::Records const& message);
+
+messages::EvidenceList encodeEvidence(evidence_message const& value);
+coordination_message::body_type decodeEvidence(messages::EvidenceList const& message);
 
 } // namespace bilberryyard
--- a/Libraries/CoordinationCodec/table_codec.cpp
+++ b/Libraries/CoordinationCodec/table_codec.cpp
@@ -2,7 +2,9 @@
 
 #include <Base/error_kind.h>
 #include <CoordinationCodec/bucket_list_codec.h>
+#include <bit>
 #include <map>
+#include <string>
 
 namespace bilberryyard {
 
@@ -155,21 +157,26 @@
     return lineage;
 }
 
-messages::TableTransfer encodeTransfer(table_transfer const& transfer)
+messages::TableTransfer encodeTable(replicated_table const& table)
 {
     messages::TableTransfer message;
-    *message.mutable_snapshot() = encodeDelta(transfer.snapshot);
-    message.set_bucket_count(transfer.bucketCount);
-    *message.mutable_lineage() = encodeLineage(transfer.lineage);
+    *message.mutable_snapshot() = encodeDelta(table.table.snapshot());
+    message.set_bucket_count(table.table.bucketCount());
+    *message.mutable_lineage() = encodeLineage(table.lineage);
     return message;
 }
 
-absl::StatusOr<table_transfer> decodeTransfer(messages::TableTransfer const& message)
+absl::StatusOr<replicated_table> decodeTable(messages::TableTransfer const& message)
 {
-    auto delta = decodeDelta(message.snapshot());
+    if (!std::has_single_bit(message.bucket_count()) || message.bucket_count() > maximumBucketIndex + 1)
+        return makeError(error_kind::InvalidArgument,
+            "table with " + std::to_string(message.bucket_count())
+                + " buckets, which is not a power of two up to 2^20");
+    auto const delta = decodeDelta(message.snapshot());
     if (!delta.ok())
         return delta.status();
-    return table_transfer { *std::move(delta), message.bucket_count(), decodeLineage(message.lineage()) };
+    bucket_table const empty(delta->service, message.bucket_count());
+    return replicated_table { empty.withDelta(*delta), decodeLineage(message.lineage()) };
 }
 
 } // namespace bilberryyard
--- a/Libraries/CoordinationCodec/table_codec.h
+++ b/Libraries/CoordinationCodec/table_codec.h
@@ -18,7 +18,7 @@
 messages::Lineage encodeLineage(table_lineage const& lineage);
 table_lineage decodeLineage(messages::Lineage const& message);
 
-messages::TableTransfer encodeTransfer(table_transfer const& transfer);
-absl::StatusOr<table_transfer> decodeTransfer(messages::TableTransfer const& message);
+messages::TableTransfer encodeTable(replicated_table const& table);
+absl::StatusOr<replicated_table> decodeTable(messages::TableTransfer const& message);
 
 } // namespace bilberryyard
--- a/Libraries/Forwarding/packet_processor.h
+++ b/Libraries/Forwarding/packet_processor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Coordination/forwarding_view.h>
+#include <Forwarding/handshake_observer.h>
 #include <Forwarding/processor_counters.h>
 #include <Forwarding/processor_settings.h>
 #include <Packet/gue_encapsulation.h>
@@ -29,13 +30,15 @@
     /// @param fabric Packets from the fabric, and to servers and callers.
     /// @param relay Packets from and to peers.
     /// @param counters Counts; must outlive the processor.
-    packet_processor(
-        processor_settings const& settings, Router& router, Io& fabric, Io& relay, processor_counters& counters)
+    /// @param observer Is told of each packet that goes to a server; must outlive the processor.
+    packet_processor(processor_settings const& settings, Router& router, Io& fabric, Io& relay,
+        processor_counters& counters, handshake_observer& observer)
         : m_settings(settings)
         , m_router(router)
         , m_fabric(fabric)
         , m_relay(relay)
         , m_counters(counters)
+        , m_observer(observer)
         , m_batch(batchSize, maximumPacketSize)
     {
         for (auto const& [host, endpoint] : settings.peers)
@@ -101,7 +104,10 @@
         auto const parsed = parsePacket(packet);
         if (auto const* reason = std::get_if<drop_reason>(&parsed))
             return drop(*reason);
-        auto const action = m_router.route(std::get<parsed_packet>(parsed), origin, now);
+        auto const& value = std::get<parsed_packet>(parsed);
+        auto const action = m_router.route(value, origin, now);
+        if (auto const* forward = std::get_if<forward_to_server>(&action))
+            m_observer.forwarded(value, hashFlow(value.key, m_view->routing->hashSeed), forward->server);
         std::visit([&](auto const& chosen) { perform(chosen, buffer, offset, now); }, action);
     }
 
@@ -174,6 +180,7 @@
     Io& m_fabric;
     Io& m_relay;
     processor_counters& m_counters;
+    handshake_observer& m_observer;
     packet_batch m_batch;
     std::shared_ptr<forwarding_view const> m_view;
     std::unordered_map<server_id, ip_endpoint> m_servers;
--- a/Services/Daemon/announcement_reader.cpp
+++ b/Services/Daemon/announcement_reader.cpp
@@ -98,7 +98,7 @@
         return root.required("state")->fault("must be starting, serving or draining");
     result.state = static_cast<server_state>(stateName - stateNames.begin());
     auto const definition = std::find_if(configuration.services.begin(), configuration.services.end(),
-        [&](coordinated_service const& value) { return value.name == service; });
+        [&](routed_service const& value) { return value.name == service; });
     if (definition == configuration.services.end())
         return makeError(error_kind::NotFound, "no service named '" + service + "'");
     result.key.service = definition->id;
--- a/Services/Daemon/coordinated_configuration_builder.cpp
+++ b/Services/Daemon/coordinated_configuration_builder.cpp
@@ -11,10 +11,10 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(value);
     }
 
-    coordinated_service serviceOf(configuration const& value, service_definition const& definition)
+    routed_service serviceOf(configuration const& value, service_definition const& definition)
     {
         auto const settings = value.settingsOf(definition);
-        coordinated_service service;
+        routed_service service;
         service.id = definition.id;
         service.name = definition.name;
         service.addresses = definition.addresses;
@@ -56,6 +56,13 @@
     result.planner.witnessCount = static_cast<uint8_t>(defaults.witnessCount);
     result.planner.bytesPerSecond = defaults.controlBytesPerSecond / 2;
     result.planner.coldStart = std::chrono::seconds(defaults.coldStartSeconds);
+    result.health.window = defaults.ejectionWindow;
+    result.health.minimumHandshakes = defaults.ejectionMinimumHandshakes;
+    result.health.failureRatio = defaults.ejectionFailureRatio;
+    result.health.ejectionCap = defaults.ejectionMaximumShare;
+    result.health.firstBackOff = defaults.ejectionBackoffMinimum;
+    result.health.lastBackOff = defaults.ejectionBackoffMaximum;
+    result.health.weightCap = defaults.reportWeightCap;
     return result;
 }
 
--- a/Services/Daemon/coordination_duty.cpp
+++ b/Services/Daemon/coordination_duty.cpp
@@ -47,6 +47,7 @@
     while (auto const update = m_configurations.pop()) {
         if (!m_coordinator) {
             m_settings.zone = (*update)->zone;
+            m_settings.planner = (*update)->configuration.planner;
             auto created = balancer_coordinator::create(m_settings, now);
             if (!created.ok()) {
                 m_logger.emit(events::startFailed, messageOf(created.status()));
@@ -54,7 +55,10 @@
             }
             m_coordinator.emplace(*std::move(created));
         }
-        m_coordinator->configure((*update)->configuration, now);
+        if (auto const status = m_coordinator->configure((*update)->configuration, now); !status.ok()) {
+            m_logger.emit(events::configurationRefused, messageOf(status));
+            continue;
+        }
         m_sharedConfiguration = std::make_shared<coordinated_configuration const>(m_coordinator->configuration());
         m_logger.emit(events::configurationInForce, "revision=" + std::to_string((*update)->configuration.revision));
         m_statusAt.reset();
@@ -106,7 +110,7 @@
         status->configuration = m_sharedConfiguration;
         status->hosts = m_coordinator->hosts(now);
         status->servers = m_coordinator->servers(now);
-        status->tables = m_coordinator->sharedTables();
+        status->tables = m_coordinator->tables();
         status->isLeaving = status->hosts.front().intent == host_intent::Leaving;
         status->mayLeave = m_coordinator->mayLeave();
     }
--- a/Services/Daemon/packet_duty.cpp
+++ b/Services/Daemon/packet_duty.cpp
@@ -7,6 +7,10 @@
     constexpr std::chrono::milliseconds idleWait { 1 };
     // Entries visited after each batch; a table of 500,000 is visited about once a minute when idle.
     constexpr size_t expiryStep = 32;
+    constexpr uint32_t sampleInterval = 16;
+    // Several seconds of sampled handshakes at 20,000 new flows a second.
+    constexpr size_t watchedFlows = 8192;
+    constexpr std::chrono::seconds evidenceInterval { 1 };
 
 } // namespace
 
@@ -25,7 +29,8 @@
 packet_duty::packet_duty(udp_packet_io fabric, udp_packet_io relay, processor_settings const& settings)
     : m_fabric(std::move(fabric))
     , m_relay(std::move(relay))
-    , m_processor(settings, m_router, m_fabric, m_relay, m_counters)
+    , m_observer(sampleInterval, watchedFlows)
+    , m_processor(settings, m_router, m_fabric, m_relay, m_counters, m_observer)
 {
     m_thread = std::make_unique<duty_thread>("packets", [this](std::stop_token const& token) { run(token); });
 }
@@ -38,6 +43,7 @@
         auto const now = std::chrono::steady_clock::now();
         auto const handled = m_processor.step(now);
         m_router.expire(now, expiryStep);
+        sendEvidence(now);
         publishCounters();
         if (handled == 0)
             udp_packet_io::waitAnyReadable(sockets, idleWait);
@@ -91,6 +97,16 @@
     m_results.push(std::move(result));
 }
 
+void packet_duty::sendEvidence(monotonic_time now)
+{
+    if (now - m_evidenceAt < evidenceInterval)
+        return;
+    m_evidenceAt = now;
+    auto evidence = m_observer.take();
+    if (!evidence.empty())
+        m_results.push(evidence_result { std::move(evidence) });
+}
+
 void packet_duty::publishCounters()
 {
     auto const fabric = m_fabric.counters();
--- a/Services/Daemon/packet_duty.h
+++ b/Services/Daemon/packet_duty.h
@@ -52,14 +52,17 @@
     void execute(export_command const& command, monotonic_time now);
     void execute(import_command const& command, monotonic_time now);
     void execute(settle_command const& command, monotonic_time now);
+    void sendEvidence(monotonic_time now);
     void publishCounters();
 
     udp_packet_io m_fabric;
     udp_packet_io m_relay;
     processor_counters m_counters;
+    handshake_observer m_observer;
     flow_router m_router;
     packet_processor<flow_router, udp_packet_io> m_processor;
     std::shared_ptr<forwarding_view const> m_view;
+    monotonic_time m_evidenceAt;
     bounded_ring<std::shared_ptr<forwarding_view const>> m_views { 64 };
     bounded_ring<flow_command> m_commands { 1024 };
     bounded_ring<flow_result> m_results { 1024 };
