--- a/Libraries/Routing/planner_types.h
+++ b/Libraries/Routing/planner_types.h
@@ -32,6 +32,10 @@
     /// After the first server of a new service appears, the planner waits this long for the others, which
     /// announce themselves once a second. Without it the first server gets every bucket.
     duration firstAssignmentDelay = std::chrono::milliseconds { 1500 };
+    /// A flow without a packet for this time is forgotten. A base is only given up when the witnesses that
+    /// report no use of it have been the same for this long: a witness that was removed may have answered
+    /// for the base until then.
+    duration flowIdleTimeout = std::chrono::seconds { 900 };
     auto operator<=>(planner_settings const&) const = default;
 };
 
--- a/Libraries/Routing/service_planner.cpp
+++ b/Libraries/Routing/service_planner.cpp
@@ -23,6 +23,19 @@
             == std::tie(second.current, second.base, second.phase, second.stamp, secondSet);
     }
 
+    /// Whether a complete witness of the first set is missing in the second.
+    bool hasLostWitness(witness_set const& before, witness_set const& after)
+    {
+        for (uint8_t group = 0; group < before.count; ++group) {
+            for (uint8_t position = 0; position < before.groups[group].count; ++position) {
+                auto const& member = before.groups[group].witnesses[position];
+                if (member.state == witness_state::Complete && !witness_selector::names(after, member.host))
+                    return true;
+            }
+        }
+        return false;
+    }
+
     uint64_t highestCounterOf(bucket_table const& table)
     {
         uint64_t highest = 0;
@@ -120,6 +133,10 @@
 void service_planner::plan(planner_input const& input)
 {
     readInput(input);
+    for (auto& memory : m_memory) {
+        if (!memory.witnessesSince)
+            memory.witnessesSince = m_now;
+    }
     if (mayAssign())
         moveToQuotas();
     auto const& sets = m_table.witnessSets();
@@ -331,6 +348,9 @@
     auto const& memory = m_memory[index];
     if (m_traffic != service_traffic::Stream || value.phase != bucket_phase::Tracked || !m_isFullView)
         return false;
+    bool const isObserved = memory.witnessesSince && m_now - *memory.witnessesSince >= m_settings.flowIdleTimeout;
+    if (value.base != value.current && !isObserved)
+        return false;
     if (memory.isMerged || memory.destination != noServer || !isAcknowledged(memory.changedAt))
         return false;
     auto const reports = m_settled.find(index);
@@ -365,6 +385,8 @@
 {
     for (auto const& change : published) {
         auto& memory = m_memory[change.index];
+        if (memory.isMerged || hasLostWitness(witnessesOf(m_table, change.index), change.witnesses))
+            memory.witnessesSince = m_now;
         bool const wasTracked = m_table.at(change.index).phase == bucket_phase::Tracked && !memory.isMerged;
         if (!wasTracked)
             memory.trackedAt = delta.version;
--- a/Libraries/Routing/service_planner.h
+++ b/Libraries/Routing/service_planner.h
@@ -78,6 +78,8 @@
         uint64_t trackedAt = 0;
         /// Version of the last change.
         uint64_t changedAt = 0;
+        /// When a complete witness was last removed or a table merged, or when this planner first planned.
+        std::optional<monotonic_time> witnessesSince;
         server_id destination = noServer;
         /// The state was merged and is not published yet.
         bool isMerged = false;
