--- /dev/null
+++ b/Tests/Operator/test_operator.cpp
@@ -0,0 +1,311 @@
+#include "operator_process.h"
+#include "test_host.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bilberryyard;
+using namespace bilberryyard::test;
+
+namespace {
+
+using words = std::vector<std::string>;
+
+std::string const firstYaml = "services:\n  - {name: orders, addresses: [127.0.1.1], port: 80, protocol: tcp}\n";
+
+std::string yamlWithSlots(int slots)
+{
+    return "services:\n  - {name: orders, addresses: [127.0.1.1], port: 80, protocol: tcp, slots: "
+        + std::to_string(slots) + "}\n";
+}
+
+process_outcome runAt(test_host const& host, words arguments)
+{
+    arguments.push_back("--endpoint=" + host.address());
+    return runOperator(arguments);
+}
+
+process_outcome applyFirst(test_host const& host)
+{
+    auto const outcome
+        = runAt(host, { "apply", "--from", temporaryFile(firstYaml), "--reason", "first", "--base", "0" });
+    BOOST_REQUIRE_MESSAGE(outcome.exitCode == 0, outcome.errors);
+    return outcome;
+}
+
+bool contains(std::string const& text, std::string const& part) { return text.find(part) != std::string::npos; }
+
+struct kind_row {
+    char const* name;
+    int exitCode;
+};
+
+std::ostream& operator<<(std::ostream& stream, kind_row const& row) { return stream << row.name; }
+
+kind_row const kinds[] = {
+    { "invalid_argument", 64 },
+    { "not_found", 66 },
+    { "conflict", 73 },
+    { "unavailable", 69 },
+    { "not_leader", 75 },
+    { "deadline_exceeded", 74 },
+    { "resource_exhausted", 71 },
+    { "failed_precondition", 78 },
+    { "data_loss", 65 },
+    { "permission_denied", 77 },
+    { "internal", 70 },
+};
+
+// Guards against scripts that cannot tell one kind of error from another by the exit code.
+BOOST_DATA_TEST_CASE(error_kind_gives_its_exit_code, kinds, row)
+{
+    test_host host;
+    auto const kind = errorKindByName(row.name).value();
+    host.setHandler(
+        [&](http_request const& request) { return makeErrorResponse(request, makeError(kind, "the reason")); });
+    auto const outcome = runAt(host, { "status", "--timeout", "300ms" });
+    BOOST_TEST(outcome.exitCode == row.exitCode);
+    BOOST_TEST(outcome.errors == "bilberryyard: " + std::string(row.name) + ": the reason\n");
+    BOOST_TEST(outcome.output.empty());
+}
+
+struct arguments_row {
+    words arguments;
+    char const* message;
+};
+
+std::ostream& operator<<(std::ostream& stream, arguments_row const& row) { return stream << row.message; }
+
+std::vector<arguments_row> const badArguments = {
+    { {}, "did not match" },
+    { { "stats" }, "did not match" },
+    { { "exception", "add", "service/orders", "slots", "3" }, "exception add TARGET KEY VALUE --reason=TEXT" },
+    { { "exception", "add", "service/orders", "slots", "3", "--reason", " " }, "--reason must not be empty" },
+    { { "exception", "add", "service/orders", "slot", "3", "--reason", "r" }, "did you mean 'slots'?" },
+    { { "exception", "add", "service/orders", "slots", "many", "--reason", "r" }, "'many' is not allowed" },
+    { { "exception", "add", "service/other", "slots", "3", "--reason", "r" }, "there is no service 'other'" },
+    { { "drain", "127.0.0.1", "--reason", "r" }, "'127.0.0.1' is no address and port" },
+    { { "apply", "--from", "x", "--reason", "r", "--base", "new" }, "--base: 'new' is no revision" },
+    { { "drain", "127.0.0.1:1", "--reason", "r", "--request-id", "x" }, "--request-id needs --base" },
+    { { "drain", "127.0.0.1:1", "--reason", "r", "--request-id", "x y", "--base", "1" }, "--request-id: 1 to 128" },
+    { { "status", "--output", "json" }, "--output: 'json' is not allowed" },
+    { { "status", "--timeout", "3" }, "the unit is missing" },
+    { { "explain", "tcp" }, "'tcp' is no flow" },
+    { { "audit", "--limit", "5000" }, "query parameter limit" },
+    { { "get", "--server", "127.0.0.1:1" }, "needs the parameter service" },
+    { { "member", "remove", "0", "--reason", "r" }, "a host number is" },
+};
+
+// Guards against a mistyped command that does something, or that is refused without saying why.
+BOOST_DATA_TEST_CASE(bad_arguments_are_refused_and_change_nothing, badArguments, row)
+{
+    test_host host;
+    applyFirst(host);
+    auto const before = host.backend().read();
+    auto const outcome = runAt(host, row.arguments);
+    BOOST_TEST(outcome.exitCode == 64);
+    BOOST_TEST(contains(outcome.errors, row.message), outcome.errors);
+    BOOST_TEST(outcome.output.empty());
+    // A change that only the state machine can refuse leaves an audit entry, so the snapshots may differ.
+    BOOST_TEST(host.backend().revision() == before->revision);
+    BOOST_TEST((*host.backend().read()->value == *before->value));
+}
+
+// Guards against a mistake in a file that is found only by the host, without the operator's path.
+BOOST_AUTO_TEST_CASE(mistake_in_file_is_found_before_anything_is_sent)
+{
+    auto const path = temporaryFile("services:\n  - {nam: orders}\n");
+    auto const outcome
+        = runOperator({ "apply", "--from", path, "--reason", "r", "--base", "0", "--endpoint=127.0.0.1:1" });
+    BOOST_TEST(outcome.exitCode == 64);
+    BOOST_TEST(outcome.errors
+        == "bilberryyard: invalid_argument: " + path + ":2: services[0].nam: unknown key; did you mean 'name'?\n");
+    BOOST_TEST(
+        runOperator({ "apply", "--from", "/nonexistent", "--reason", "r", "--base", "0", "--endpoint=127.0.0.1:1" })
+            .exitCode
+        == 66);
+}
+
+BOOST_AUTO_TEST_CASE(help_and_version_succeed)
+{
+    auto const help = runOperator({ "--help" });
+    BOOST_TEST(help.exitCode == 0);
+    for (auto const* word : { "status", "get", "apply --from=FILE --reason=TEXT --base=REVISION [--dry-run]",
+             "exception add", "exception remove", "explain FLOW", "audit", "drain SERVER", "member add",
+             "member remove", "member list", "metrics", "--output=FORMAT" })
+        BOOST_TEST(contains(help.output, word), word);
+    BOOST_TEST(runOperator({ "--version" }).output.starts_with("bilberryyard "));
+}
+
+// Guards against two operators who both believe that their change was made (F5).
+BOOST_AUTO_TEST_CASE(one_of_eight_racing_operators_wins)
+{
+    test_host host;
+    applyFirst(host);
+    std::vector<operator_process> processes;
+    for (int index = 0; index < 8; ++index)
+        processes.emplace_back(words { "apply", "--from", temporaryFile(yamlWithSlots(10 + index)), "--reason", "race",
+                                   "--base", "1", "--endpoint", host.address() },
+            words { "BILBERRYYARD_AUTHOR=operator-" + std::to_string(index) });
+    int winners = 0;
+    for (auto& process : processes) {
+        auto const outcome = process.wait();
+        winners += outcome.exitCode == 0 ? 1 : 0;
+        if (outcome.exitCode != 0) {
+            BOOST_TEST(outcome.exitCode == 73);
+            BOOST_TEST(contains(outcome.errors, "revision 2 by operator-"), outcome.errors);
+            BOOST_TEST(contains(outcome.errors, "+ services.orders.slots: 1"), outcome.errors);
+        }
+    }
+    BOOST_TEST(winners == 1);
+    BOOST_TEST(host.backend().revision() == 2U);
+}
+
+// Guards against a change that is made twice or reported as failed because its answer was lost (F5).
+BOOST_AUTO_TEST_CASE(lost_answer_is_resent_to_the_next_host_with_the_same_id)
+{
+    test_host host;
+    answer_loser const loser([&](std::string const& body) { host.answer({ "POST", "/v1/changes", {}, {}, body }); });
+    auto const outcome = runOperator({ "apply", "--from", temporaryFile(firstYaml), "--reason", "first", "--base", "0",
+        "--endpoint", loser.address(), "--endpoint", host.address() });
+    BOOST_TEST(outcome.exitCode == 0, outcome.errors);
+    BOOST_TEST(loser.requests() == 1);
+    BOOST_TEST(host.backend().proposals() == 2);
+    BOOST_TEST(host.backend().revision() == 1U);
+    BOOST_TEST(host.backend().audit({})->entries.size() == 1U);
+}
+
+// Guards against an operator who is told that a change failed when its outcome is not known, and against a
+// later resend of it that is made a second time.
+BOOST_AUTO_TEST_CASE(undecided_change_can_be_completed_with_its_request_id)
+{
+    test_host host;
+    answer_loser const loser([&](std::string const& body) { host.answer({ "POST", "/v1/changes", {}, {}, body }); });
+    auto const file = temporaryFile(firstYaml);
+    words const arguments { "apply", "--from", file, "--reason", "first", "--base", "0" };
+    auto lost = arguments;
+    lost.insert(lost.end(), { "--endpoint", loser.address(), "--timeout", "500ms" });
+    auto const undecided = runOperator(lost);
+    BOOST_TEST(undecided.exitCode == 69);
+    std::string const hint = "repeat the command with --request-id ";
+    BOOST_REQUIRE_MESSAGE(contains(undecided.errors, hint), undecided.errors);
+    auto id = undecided.errors.substr(undecided.errors.find(hint) + hint.size());
+    BOOST_TEST(contains(id, " --base 0"), id);
+    id = id.substr(0, id.find(' '));
+    auto again = arguments;
+    again.insert(again.end(), { "--endpoint", host.address(), "--request-id", id });
+    auto const completed = runOperator(again);
+    BOOST_TEST(completed.exitCode == 0, completed.errors);
+    BOOST_TEST(contains(completed.output, "accepted: revision 1"));
+    BOOST_TEST(host.backend().revision() == 1U);
+    BOOST_TEST(loser.requests() > 1);
+}
+
+// Guards against a command that gives up at a host that is down or not the leader.
+BOOST_AUTO_TEST_CASE(next_host_is_asked)
+{
+    test_host host;
+    auto const firstDown = runOperator({ "apply", "--from", temporaryFile(firstYaml), "--reason", "first", "--base",
+        "0", "--endpoint", "127.0.0.1:1", "--endpoint", host.address() });
+    BOOST_TEST(firstDown.exitCode == 0, firstDown.errors);
+    std::atomic<int> calls { 0 };
+    host.setHandler([&](http_request const& request) {
+        if (++calls == 1)
+            return makeErrorResponse(request, makeError(error_kind::NotLeader, "no"));
+        return host.answer(request);
+    });
+    auto const list = operator_process({ "status" }, { "BILBERRYYARD_ENDPOINTS=127.0.0.1:1," + host.address() }).wait();
+    BOOST_TEST(list.exitCode == 0, list.errors);
+    BOOST_TEST(calls == 2);
+}
+
+BOOST_AUTO_TEST_CASE(dry_run_shows_the_difference_only)
+{
+    test_host host;
+    applyFirst(host);
+    auto const before = host.backend().snapshot();
+    auto const outcome = runAt(
+        host, { "apply", "--from", temporaryFile(yamlWithSlots(7)), "--reason", "r", "--base", "1", "--dry-run" });
+    BOOST_TEST(outcome.exitCode == 0, outcome.errors);
+    BOOST_TEST(contains(outcome.output, "would be accepted"), outcome.output);
+    BOOST_TEST(contains(outcome.output, "+ services.orders.slots: 7"), outcome.output);
+    auto const conflict = runAt(
+        host, { "apply", "--from", temporaryFile(yamlWithSlots(7)), "--reason", "r", "--base", "0", "--dry-run" });
+    BOOST_TEST(conflict.exitCode == 73);
+    BOOST_TEST(host.backend().snapshot() == before);
+}
+
+struct output_row {
+    words arguments;
+    words lines;
+};
+
+std::ostream& operator<<(std::ostream& stream, output_row const& row) { return stream << row.arguments[0]; }
+
+std::vector<output_row> const outputs = {
+    { { "status" },
+        { "host_id  zone    roles             condition       active_revision  age\n",
+            "1        zone-a  balancer,control  leader          7                20ms\n",
+            "2        zone-b  balancer          not heard from  -                9s\n" } },
+    { { "status", "--output", "yaml" }, { "hosts:\n  - host_id: 1\n", "    roles:\n      - balancer\n" } },
+    { { "get" }, { "# revision 1, current, confirmed 1500ms ago\n", "services:\n  - name: orders\n    id: 1\n" } },
+    { { "get", "--service", "orders" }, { "flow_idle_timeout: 900s\n", "slots: 2\n" } },
+    { { "get", "--service", "orders", "--server", "127.0.0.9:6080", "--output", "yaml" },
+        { "server: \"127.0.0.9:6080" } },
+    { { "audit" }, { "#1 2026-01-31T08:00:00.250Z ana: first\n  accepted, base 0, revision 1, request id cli-" } },
+    { { "explain", "tcp 127.0.0.1:5 -> 127.0.1.1:80" },
+        { "flow: \"tcp 127.0.0.1:5 -> 127.0.1.1:80\"\n", "service: o" } },
+    { { "metrics" }, { "requests_total 1\n" } },
+    { { "drain", "127.0.0.9:6080", "--reason", "replace disk" },
+        { "accepted: revision 2, request id cli-",
+            "+ exceptions.server/127.0.0.9:6080.drain: value true, reason replace "
+            "disk, author ana\n" } },
+    { { "exception", "add", "service/orders", "slots", "3", "--reason", "more cores", "--author", "ben" },
+        { "+ exceptions.service/orders.slots: value 3, reason more cores, author ben\n" } },
+    { { "member", "add", "7", "127.0.0.1:1", "127.0.0.1:2", "--reason", "r" },
+        { "host_id  peer         distribution\n7        127.0.0.1:1  127.0.0.1:2\n" } },
+    { { "member", "list" }, { "host_id  peer  distribution\n" } },
+};
+
+// Guards against answers that lose a value between host and terminal.
+BOOST_DATA_TEST_CASE(answer_is_shown, outputs, row)
+{
+    test_host host;
+    applyFirst(host);
+    auto const outcome = runAt(host, row.arguments);
+    BOOST_TEST(outcome.exitCode == 0, outcome.errors);
+    for (auto const& line : row.lines)
+        BOOST_TEST(contains(outcome.output, line), outcome.output);
+}
+
+// Guards against a drain that cannot be ended, and an exception that cannot be removed.
+BOOST_AUTO_TEST_CASE(drain_and_exception_are_undone)
+{
+    test_host host;
+    applyFirst(host);
+    BOOST_TEST(runAt(host, { "drain", "127.0.0.9:6080", "--reason", "r" }).exitCode == 0);
+    BOOST_TEST(runAt(host, { "drain", "127.0.0.9:6080", "--reason", "r", "--undo" }).exitCode == 0);
+    BOOST_TEST(runAt(host, { "exception", "remove", "service/orders", "slots", "--reason", "r" }).exitCode == 66);
+    BOOST_TEST(host.backend().revision() == 3U);
+    BOOST_TEST(host.backend().read()->value->exceptions().empty());
+    BOOST_TEST(runAt(host, { "member", "add", "7", "127.0.0.1:1", "127.0.0.1:2", "--reason", "r" }).exitCode == 0);
+    BOOST_TEST(runAt(host, { "member", "remove", "7", "--reason", "r" }).exitCode == 0);
+    BOOST_TEST(host.backend().members()->empty());
+}
+
+// Guards against old data that is shown as the latest (F4).
+BOOST_AUTO_TEST_CASE(stale_data_needs_the_option)
+{
+    test_host host;
+    applyFirst(host);
+    host.backend().setFreshness(reading_freshness::Stale);
+    auto const refused = runAt(host, { "get", "--timeout", "300ms" });
+    BOOST_TEST(refused.exitCode == 69);
+    BOOST_TEST(contains(refused.errors, "confirmed 1500ms ago"), refused.errors);
+    auto const allowed = runAt(host, { "get", "--stale" });
+    BOOST_TEST(allowed.exitCode == 0);
+    BOOST_TEST(allowed.output.starts_with("# revision 1, possibly not the latest"));
+}
+
+} // namespace
--- /dev/null
+++ b/Utilities/Operator/operator_command.cpp
@@ -0,0 +1,174 @@
+#include "operator_command.h"
+
+#include <Base/error_kind.h>
+#include <Configuration/configuration_reader.h>
+#include <Configuration/document_parser.h>
+#include <Configuration/document_writer.h>
+#include <charconv>
+#include <utility>
+
+namespace bilberryyard {
+
+operator_command::operator_command(command_line line, operator_session session, answer_printer printer)
+    : m_line(std::move(line))
+    , m_session(std::move(session))
+    , m_printer(printer)
+{
+}
+
+int operator_command::run()
+{
+    auto request = makeRequest();
+    if (!request.ok())
+        return fail({ request.status(), m_readAnswer.body, {}, false });
+    auto const answer = m_session.send(*std::move(request));
+    if (!answer.status.ok())
+        return fail(answer);
+    m_printer.print(m_line, answer);
+    return 0;
+}
+
+absl::StatusOr<http_request> operator_command::makeRequest()
+{
+    switch (m_line.what) {
+    case operation::Status:
+        return http_request { "GET", "/v1/status", {}, {}, {} };
+    case operation::Get:
+        return makeGetRequest();
+    case operation::Apply:
+        return makeApplyRequest();
+    case operation::ExceptionAdd:
+    case operation::ExceptionRemove:
+    case operation::Drain:
+        return makeExceptionRequest();
+    case operation::Explain:
+        return http_request { "GET", "/v1/explain", { { "flow", m_line.flow } }, {}, {} };
+    case operation::Audit:
+        return makeAuditRequest();
+    case operation::MemberList:
+        return http_request { "GET", "/v1/members", {}, {}, {} };
+    case operation::MemberAdd:
+    case operation::MemberRemove:
+        return makeMemberRequest();
+    default:
+        return http_request { "GET", "/metrics", {}, {}, {} };
+    }
+}
+
+http_request operator_command::makeGetRequest() const
+{
+    http_request request { "GET", "/v1/configuration", {}, {}, {} };
+    if (m_line.allowStale)
+        request.query.emplace("stale", "allow");
+    if (!m_line.service.empty())
+        request.query.emplace("service", m_line.service);
+    if (!m_line.server.empty())
+        request.query.emplace("server", m_line.server);
+    return request;
+}
+
+http_request operator_command::makeAuditRequest() const
+{
+    http_request request { "GET", "/v1/audit", {}, {}, {} };
+    if (!m_line.first.empty())
+        request.query.emplace("first", m_line.first);
+    if (!m_line.last.empty())
+        request.query.emplace("last", m_line.last);
+    if (!m_line.limit.empty())
+        request.query.emplace("limit", m_line.limit);
+    return request;
+}
+
+absl::StatusOr<http_request> operator_command::makeApplyRequest()
+{
+    auto const text = readTextFile(m_line.file);
+    if (!text.ok())
+        return text.status();
+    // Mistakes are found without a host, with the path that the operator typed.
+    if (auto const value = configuration_reader(m_line.file).read(*text); !value.ok())
+        return value.status();
+    return makeChangeRequest({ { "file", document::text(m_line.file) }, { "configuration", document::text(*text) } });
+}
+
+absl::StatusOr<http_request> operator_command::makeExceptionRequest()
+{
+    bool const isRemoval = m_line.what == operation::ExceptionRemove || m_line.undo;
+    std::vector<document_member> members {
+        { "target", document::text(m_line.target) },
+        { "key", document::text(m_line.key) },
+    };
+    if (isRemoval)
+        return makeChangeRequest({ { "remove_exception", document::map(std::move(members)) } });
+    members.push_back({ "value", document::text(m_line.value) });
+    members.push_back({ "reason", document::text(m_line.change.reason) });
+    members.push_back({ "author", document::text(m_line.change.author) });
+    return makeChangeRequest({ { "add_exception", document::map(std::move(members)) } });
+}
+
+absl::StatusOr<http_request> operator_command::makeChangeRequest(std::vector<document_member> members)
+{
+    if (auto status = readBase(); !status.ok())
+        return status;
+    auto body = whoAndWhy();
+    body.push_back({ "base_revision", document::unsignedInteger(*m_line.change.base) });
+    body.insert(body.end(), members.begin(), members.end());
+    http_request request { "POST", "/v1/changes", {}, {}, writeJson(document::map(std::move(body))) };
+    if (m_line.change.dryRun)
+        request.query.emplace("dry_run", "true");
+    return request;
+}
+
+absl::Status operator_command::readBase()
+{
+    if (m_line.change.base)
+        return absl::OkStatus();
+    m_readAnswer = m_session.send({ "GET", "/v1/configuration", {}, {}, {} });
+    if (!m_readAnswer.status.ok())
+        return m_readAnswer.status;
+    auto const* revision = m_readAnswer.body.find("revision");
+    uint64_t base = 0;
+    if (!revision
+        || std::from_chars(revision->scalar().data(), revision->scalar().data() + revision->scalar().size(), base).ec
+            != std::errc())
+        return makeError(error_kind::Internal, "the host's answer names no revision");
+    m_line.change.base = base;
+    return absl::OkStatus();
+}
+
+http_request operator_command::makeMemberRequest() const
+{
+    auto body = whoAndWhy();
+    if (m_line.what == operation::MemberRemove)
+        return { "DELETE", "/v1/members/" + percentEncode(m_line.host), {}, {},
+            writeJson(document::map(std::move(body))) };
+    body.push_back({ "host_id", document::text(m_line.host) });
+    body.push_back({ "peer", document::text(m_line.peer) });
+    body.push_back({ "distribution", document::text(m_line.distribution) });
+    return { "POST", "/v1/members", {}, {}, writeJson(document::map(std::move(body))) };
+}
+
+std::vector<document_member> operator_command::whoAndWhy() const
+{
+    return {
+        { "request_id", document::text(m_line.change.requestId) },
+        { "author", document::text(m_line.change.author) },
+        { "reason", document::text(m_line.change.reason) },
+    };
+}
+
+int operator_command::fail(session_answer answer) const
+{
+    bool const isChange = !m_line.change.requestId.empty() && !m_line.change.dryRun;
+    if (isChange && answer.isUndecided) {
+        std::string hint = "; it is not known whether the change was made. To find out or to complete it, repeat the "
+                           "command with --request-id "
+            + m_line.change.requestId;
+        if (m_line.change.base)
+            hint += " --base " + std::to_string(*m_line.change.base);
+        answer.status = makeError(errorKindOf(answer.status), messageOf(answer.status) + hint);
+    }
+    m_printer.printError(m_line, answer);
+    return answerFor(errorKindOf(answer.status)).exitCode;
+}
+
+} // namespace bilberryyard
