Daemon: Put the replicated log behind the control hosts

Cause: control hosts distributed a file that each read for itself. Conclusion: a configuration is accepted by the log before any balancer has it.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -21,6 +21,10 @@
         events::configurationRefused,
         events::configurationNotSaved,
         events::savedConfigurationDamaged,
+        events::memberStarted,
+        events::waitingToBeAdded,
+        events::storageFailed,
+        events::memberRemoved,
         events::httpListenFailed,
     };
 
--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -38,6 +38,10 @@
     inline constexpr log_event configurationRefused { 501, log_severity::Error, "configuration_refused" };
     inline constexpr log_event configurationNotSaved { 502, log_severity::Warning, "configuration_not_saved" };
     inline constexpr log_event savedConfigurationDamaged { 503, log_severity::Warning, "saved_configuration_damaged" };
+    inline constexpr log_event memberStarted { 600, log_severity::Information, "member_started" };
+    inline constexpr log_event waitingToBeAdded { 601, log_severity::Warning, "waiting_to_be_added" };
+    inline constexpr log_event storageFailed { 602, log_severity::Error, "storage_failed" };
+    inline constexpr log_event memberRemoved { 603, log_severity::Information, "member_removed" };
     inline constexpr log_event httpListenFailed { 700, log_severity::Error, "http_listen_failed" };
 } // namespace events
 
--- a/Libraries/Coordination/balancer_coordinator.h
+++ b/Libraries/Coordination/balancer_coordinator.h
@@ -19,7 +19,7 @@
 namespace bilberryyard {
 
 /// What `status` shows of an entry host.
-struct host_status {
+struct peer_status {
     routed_peer host;
     zone_id zone;
     synchronisation state = synchronisation::Unsynchronised;
@@ -27,7 +27,7 @@
     uint64_t configurationRevision = 0;
     /// Time since its last heartbeat.
     duration age {};
-    auto operator<=>(host_status const&) const = default;
+    auto operator<=>(peer_status const&) const = default;
 };
 
 /// What `status` shows of a backend server.
@@ -85,7 +85,7 @@
     std::map<service_id, std::shared_ptr<bucket_table const>> const& tables() const { return m_tables; }
     /// @param now The time.
     /// @return One row for each live entry host, this one first.
-    std::vector<host_status> hosts(monotonic_time now) const;
+    std::vector<peer_status> hosts(monotonic_time now) const;
     /// @param now The time.
     std::vector<server_status> servers(monotonic_time now) const;
     server_directory const& directory() const { return m_directory; }
--- a/Libraries/Coordination/balancer_coordinator_view.cpp
+++ b/Libraries/Coordination/balancer_coordinator_view.cpp
@@ -157,9 +157,9 @@
     m_newView = view;
 }
 
-std::vector<host_status> balancer_coordinator::hosts(monotonic_time now) const
+std::vector<peer_status> balancer_coordinator::hosts(monotonic_time now) const
 {
-    std::vector<host_status> rows { { m_settings.self, m_settings.zone, m_peers->state(), m_intent,
+    std::vector<peer_status> rows { { m_settings.self, m_settings.zone, m_peers->state(), m_intent,
         m_configuration.revision, duration::zero() } };
     for (auto const& heartbeat : m_peers->liveHeartbeats()) {
         auto const host = heartbeat.sender.host;
--- a/Libraries/Distribution/configuration_publisher.cpp
+++ b/Libraries/Distribution/configuration_publisher.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr std::chrono::seconds longPollTime { 2 };
+    // Longer than an election, during which no host knows that its data is current.
+    constexpr std::chrono::seconds maximumAge { 3 };
     // One request of each daemon of the planned size may wait at a time.
     constexpr size_t maximumWaiting = 4096;
 
@@ -26,6 +28,7 @@
     zmq::socket_t socket { context, zmq::socket_type::router };
     uint64_t revision = 0;
     std::string yaml;
+    bool isStale = false;
     std::vector<waiting_request> waiting;
     std::map<host_id, subscriber_status> subscribers;
 };
@@ -63,6 +66,11 @@
     answerDue();
 }
 
+void configuration_publisher::setFreshness(std::optional<duration> age)
+{
+    m_state->isStale = !age || *age > maximumAge;
+}
+
 void configuration_publisher::step(std::chrono::milliseconds timeout)
 {
     try {
@@ -102,10 +110,10 @@
     auto const now = std::chrono::steady_clock::now();
     std::erase_if(m_state->waiting, [&](waiting_request const& waiting) {
         bool const isNewer = m_state->revision > waiting.request.haveRevision;
-        if (!isNewer && now < waiting.deadline)
+        if (!isNewer && !m_state->isStale && now < waiting.deadline)
             return false;
         configuration_answer const answer { m_state->deployment, waiting.request.sequence, m_state->revision,
-            isNewer ? m_state->yaml : std::string() };
+            isNewer ? m_state->yaml : std::string(), m_state->isStale };
         try {
             m_state->socket.send(zmq::buffer(waiting.identity), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
             m_state->socket.send(zmq::buffer(answer.encode()), zmq::send_flags::dontwait);
--- a/Libraries/Distribution/configuration_publisher.h
+++ b/Libraries/Distribution/configuration_publisher.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace bilberryyard {
@@ -40,6 +41,11 @@
     /// @param yaml Its text.
     void publish(uint64_t revision, std::string yaml);
 
+    /// States how old this host's data may be. A host that is cut off from the majority does not hold balancers:
+    /// its answers tell them to ask another control host.
+    /// @param age Time since the data was known to be current; nothing when it never was.
+    void setFreshness(std::optional<duration> age);
+
     /// Receives requests and answers those that are due.
     /// @param timeout Longest time to wait for a request.
     void step(std::chrono::milliseconds timeout);
--- a/Libraries/Distribution/configuration_subscriber.cpp
+++ b/Libraries/Distribution/configuration_subscriber.cpp
@@ -11,6 +11,7 @@
     // A control host that is down is noticed by the missing connection only after the answer is overdue; the first
     // request of a process, which has no configuration, does not wait that long.
     constexpr std::chrono::milliseconds firstAnswerTimeout { 500 };
+    constexpr std::chrono::milliseconds turnInterval { 200 };
 
 } // namespace
 
@@ -22,6 +23,7 @@
     std::optional<zmq::socket_t> socket;
     std::optional<monotonic_time> askedAt;
     std::optional<monotonic_time> answeredAt;
+    monotonic_time notBefore;
 };
 
 configuration_subscriber::configuration_subscriber(std::vector<ip_endpoint> controlHosts, configuration_request request)
@@ -47,6 +49,14 @@
     m_state->askedAt.reset();
 }
 
+void configuration_subscriber::moveOn()
+{
+    m_state->selected = (m_state->selected + 1) % m_state->controlHosts.size();
+    connect();
+    // With every control host out of date or out of reach, the hosts are asked in turn at a bounded rate.
+    m_state->notBefore = std::chrono::steady_clock::now() + turnInterval;
+}
+
 void configuration_subscriber::ask(uint64_t revision, uint32_t tableState)
 {
     m_state->request.haveRevision = revision;
@@ -61,12 +71,10 @@
 {
     auto const now = std::chrono::steady_clock::now();
     auto const limit = m_state->answeredAt ? answerTimeout : firstAnswerTimeout;
-    if (m_state->askedAt && now - *m_state->askedAt > limit) {
-        m_state->selected = (m_state->selected + 1) % m_state->controlHosts.size();
-        connect();
-    }
+    if (m_state->askedAt && now - *m_state->askedAt > limit)
+        moveOn();
     try {
-        if (!m_state->askedAt)
+        if (!m_state->askedAt && now >= m_state->notBefore)
             ask(revision, tableState);
         zmq::pollitem_t item { m_state->socket->handle(), 0, ZMQ_POLLIN, 0 };
         if (zmq::poll(&item, 1, timeout) == 0)
@@ -80,6 +88,8 @@
             return std::nullopt;
         m_state->answeredAt = std::chrono::steady_clock::now();
         m_state->askedAt.reset();
+        if (answer->isStale)
+            moveOn();
         if (answer->yaml.empty() || answer->revision <= revision)
             return std::nullopt;
         return *std::move(answer);
--- a/Libraries/Distribution/configuration_subscriber.h
+++ b/Libraries/Distribution/configuration_subscriber.h
@@ -33,6 +33,7 @@
 private:
     struct state;
     void connect();
+    void moveOn();
     void ask(uint64_t revision, uint32_t tableState);
 
     std::unique_ptr<state> m_state;
--- a/Libraries/Distribution/distribution_message.cpp
+++ b/Libraries/Distribution/distribution_message.cpp
@@ -48,6 +48,7 @@
     message.set_sequence(sequence);
     message.set_revision(revision);
     message.set_yaml(yaml);
+    message.set_stale(isStale);
     return message.SerializeAsString();
 }
 
@@ -56,7 +57,8 @@
     messages::ConfigurationAnswer message;
     if (auto const status = parse(message, bytes); !status.ok())
         return status;
-    return configuration_answer { message.deployment(), message.sequence(), message.revision(), message.yaml() };
+    return configuration_answer { message.deployment(), message.sequence(), message.revision(), message.yaml(),
+        message.stale() };
 }
 
 } // namespace bilberryyard
--- a/Libraries/Distribution/distribution_message.h
+++ b/Libraries/Distribution/distribution_message.h
@@ -32,6 +32,8 @@
     uint64_t revision = 0;
     /// Empty when the balancer has the revision.
     std::string yaml;
+    /// The control host does not know whether a newer revision exists; the balancer should ask another one.
+    bool isStale = false;
     auto operator<=>(configuration_answer const&) const = default;
 
     std::string encode() const;
--- a/Meta/run-deployment.sh
+++ b/Meta/run-deployment.sh
@@ -39,8 +39,7 @@
 }
 
 start_control() {
-    start "control-$1" "$BUILD/bin/bilberryyardd" --settings "$RUN/settings/control-$1.yaml" \
-        --initial-configuration "$RUN/settings/configuration.yaml"
+    start "control-$1" "$BUILD/bin/bilberryyardd" --settings "$RUN/settings/control-$1.yaml"
 }
 
 start_entry() {
@@ -99,11 +98,22 @@
 # Whether an entry host knows this many accepting servers and every bucket has one.
 has_servers() { [ "$(http_get "$1/v1/servers" | grep -o '"condition":"accepting"' | wc -l)" -ge "$2" ]; }
 
+found_control() { "$BUILD/bin/bilberryyardd" --settings "$RUN/settings/control-$1.yaml" --found-cluster; }
+
+export BILBERRYYARD_ENDPOINTS=$NETWORK.1.1:8080,$NETWORK.1.2:8080,$NETWORK.1.3:8080
+export BILBERRYYARD_AUTHOR=operator
+
+# operate ARGUMENT...: the operator's command line.
+operate() { "$BUILD/bin/bilberryyard" "$@"; }
+
 # start_deployment [LARGE_COUNT] [SMALL_COUNT]: everything but the load.
 start_deployment() {
     local large=${1:-14} small=${2:-4} number host
     prepare
+    for number in 1 2 3; do found_control "$number"; done
     for number in 1 2 3; do start_control "$number"; done
+    wait_until 10 operate apply --from "$RUN/settings/configuration.yaml" --base 0 --reason "first configuration" \
+        --request-id first-configuration >"$RUN/apply.log" 2>&1
     for host in $ENTRY_HOSTS; do start_entry "$host"; done
     for number in $(seq "$large"); do start_server "$LARGE" "$number"; done
     for number in $(seq "$small"); do start_server "$SMALL" "$number"; done
--- /dev/null
+++ b/Services/Daemon/balancer_backend_adapter.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "coordination_duty.h"
+#include "packet_duty.h"
+#include <OperatorInterface/balancer_api.h>
+
+namespace bilberryyard {
+
+/// Gives HTTP threads access to the coordination and packet threads.
+class balancer_backend_adapter {
+public:
+    /// @param coordination The coordination thread; must outlive this object.
+    /// @param packets The packet thread; must outlive this object.
+    balancer_backend_adapter(coordination_duty& coordination, packet_duty& packets)
+        : m_coordination(coordination)
+        , m_packets(packets)
+    {
+    }
+
+    absl::StatusOr<std::vector<document_member>> explain(flow_key const& flow);
+    absl::Status registerServer(server_registration const& registration);
+    std::vector<server_row> servers();
+
+private:
+    coordination_duty& m_coordination;
+    packet_duty& m_packets;
+};
+
+static_assert(balancer_backend<balancer_backend_adapter>);
+
+} // namespace bilberryyard
--- a/Services/Daemon/balancer_role.cpp
+++ b/Services/Daemon/balancer_role.cpp
@@ -81,10 +81,21 @@
     role->m_configuration = std::make_unique<configuration_duty>(
         std::make_unique<configuration_subscriber>(std::move(controlHosts), request), *role->m_coordination,
         settings.zone, savedFile);
-    role->m_http = std::make_unique<balancer_http>(*role->m_coordination, *role->m_packets);
+    role->m_backend = std::make_unique<balancer_backend_adapter>(*role->m_coordination, *role->m_packets);
+    role->m_api = std::make_unique<balancer_api<balancer_backend_adapter>>(*role->m_backend);
     return role;
 }
 
+readiness balancer_role::readinessNow() const
+{
+    auto const status = m_coordination->status();
+    if (status->isLeaving)
+        return readiness::Stopping;
+    // A host that is cut off goes on serving its zone; one that only lost its tables does not take packets.
+    bool const isReady = status->isConfigured && status->state != synchronisation::Unsynchronised;
+    return isReady ? readiness::Ready : readiness::Starting;
+}
+
 void balancer_role::leave()
 {
     m_coordination->tasks().push([](balancer_coordinator* coordinator, monotonic_time) {
--- a/Services/Daemon/balancer_role.h
+++ b/Services/Daemon/balancer_role.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "balancer_http.h"
+#include "balancer_backend_adapter.h"
 #include "configuration_duty.h"
 #include "coordination_duty.h"
 #include "packet_duty.h"
 #include <Configuration/daemon_settings.h>
 #include <Kernel/metrics_registry.h>
+#include <OperatorInterface/health_api.h>
 #include <absl/status/statusor.h>
 #include <memory>
 
@@ -21,7 +22,10 @@
         daemon_settings const& settings, metrics_registry& metrics);
 
     /// Adds the HTTP handlers.
-    void registerAt(http_router& router) { m_http->registerAt(router); }
+    void registerAt(http_router& router) { m_api->registerAt(router); }
+
+    /// @return Whether the platform should send packets to this host.
+    readiness readinessNow() const;
 
     /// Stops gracefully: readiness fails, witness roles are handed over, and packets are forwarded until the
     /// fabric has had time to notice.
@@ -33,7 +37,8 @@
     std::unique_ptr<packet_duty> m_packets;
     std::unique_ptr<coordination_duty> m_coordination;
     std::unique_ptr<configuration_duty> m_configuration;
-    std::unique_ptr<balancer_http> m_http;
+    std::unique_ptr<balancer_backend_adapter> m_backend;
+    std::unique_ptr<balancer_api<balancer_backend_adapter>> m_api;
 };
 
 } // namespace bilberryyard
--- /dev/null
+++ b/Services/Daemon/control_backend.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "control_duty.h"
+#include <OperatorInterface/configuration_backend.h>
+
+namespace bilberryyard {
+
+/// Gives HTTP threads access to the control thread.
+class control_backend {
+public:
+    /// @param duty The control thread; must outlive this object.
+    explicit control_backend(control_duty& duty)
+        : m_duty(duty)
+    {
+    }
+
+    absl::StatusOr<command_result> propose(configuration_command const& command);
+    absl::StatusOr<configuration_reading> read();
+    absl::StatusOr<audit_page> audit(audit_query const& query);
+    absl::StatusOr<std::vector<host_status>> status();
+    absl::StatusOr<std::vector<control_member>> members();
+    absl::Status changeMembers(member_change const& change);
+
+private:
+    control_duty& m_duty;
+};
+
+static_assert(configuration_backend<control_backend>);
+
+} // namespace bilberryyard
--- a/Services/Daemon/control_role.cpp
+++ b/Services/Daemon/control_role.cpp
@@ -1,38 +1,41 @@
 #include "control_role.h"
 
-#include <Configuration/configuration_reader.h>
-#include <Configuration/configuration_writer.h>
+#include <thread>
 
 namespace bilberryyard {
 
+namespace {
+
+    constexpr std::chrono::milliseconds leaveTimeout { 1'000 };
+    constexpr std::chrono::milliseconds pollInterval { 20 };
+
+} // namespace
+
 absl::StatusOr<std::unique_ptr<control_role>> control_role::create(
-    daemon_settings const& settings, std::string const& initialConfiguration, metrics_registry&)
+    daemon_settings const& settings, metrics_registry& metrics)
 {
-    // FIXME: The configuration is read from a file at the start; the replicated log takes its place.
-    auto const value = readConfigurationFile(initialConfiguration);
-    if (!value.ok())
-        return value.status();
-    auto const& distribution = settings.control->distribution;
-    auto publisher = configuration_publisher::create(
-        { distribution.address, distribution.port }, static_cast<uint32_t>(settings.hashSeed()));
-    if (!publisher.ok())
-        return publisher.status();
-    publisher->publish(1, writeConfiguration(*value));
-    return std::unique_ptr<control_role>(new control_role(*std::move(publisher)));
+    auto duty = control_duty::create(settings, metrics);
+    if (!duty.ok())
+        return duty.status();
+    return std::unique_ptr<control_role>(new control_role(*std::move(duty)));
 }
 
-control_role::control_role(configuration_publisher publisher)
-    : m_publisher(std::move(publisher))
+control_role::control_role(std::unique_ptr<control_duty> duty)
+    : m_duty(std::move(duty))
+    , m_backend(*m_duty)
+    , m_api(m_backend, [] { return std::chrono::system_clock::now(); })
 {
-    m_thread = std::make_unique<duty_thread>("distribution", [this](std::stop_token const& token) { run(token); });
 }
 
-void control_role::run(std::stop_token const& stopToken)
+void control_role::leave()
 {
-    while (!stopToken.stop_requested())
-        m_publisher.step(std::chrono::milliseconds(50));
+    auto const leads = std::make_shared<std::atomic<bool>>(true);
+    m_duty->post([](control_duty& duty) { duty.transferLeadership(); });
+    auto const deadline = std::chrono::steady_clock::now() + leaveTimeout;
+    while (leads->load() && std::chrono::steady_clock::now() < deadline) {
+        m_duty->post([leads](control_duty& duty) { leads->store(duty.isLeader()); });
+        std::this_thread::sleep_for(pollInterval);
+    }
 }
 
-void control_role::registerAt(http_router&) { }
-
 } // namespace bilberryyard
--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "balancer_role.h"
 #include "control_role.h"
 #include <Base/error_kind.h>
+#include <OperatorInterface/health_api.h>
 #include <OperatorInterface/http_server.h>
 #include <thread>
 
@@ -12,14 +13,10 @@
 
     constexpr std::chrono::milliseconds pollInterval { 20 };
 
-    void registerCommonHandlers(http_router& router, metrics_registry& metrics)
+    readiness readinessOf(balancer_role const* balancer)
     {
-        router.add("/healthz", [](http_request const& request) {
-            return makeDocumentResponse(request, 200, document::map({ { "alive", document::boolean(true) } }));
-        });
-        router.add("/metrics", [&metrics](http_request const&) {
-            return http_response { 200, "text/plain; version=0.0.4", {}, metrics.exposition() };
-        });
+        // A control host has no traffic that the platform could steer away.
+        return balancer ? balancer->readinessNow() : readiness::Ready;
     }
 
 } // namespace
@@ -29,17 +26,16 @@
     metrics_registry metrics;
     std::unique_ptr<control_role> control;
     std::unique_ptr<balancer_role> balancer;
+    std::unique_ptr<health_api> health;
     std::unique_ptr<http_server> http;
 };
 
-absl::StatusOr<std::unique_ptr<daemon>> daemon::create(daemon_options const& options)
+absl::StatusOr<std::unique_ptr<daemon>> daemon::create(daemon_settings const& settings)
 {
     auto prepared = std::make_unique<state>();
-    auto const& settings = options.settings;
     http_router router;
-    registerCommonHandlers(router, prepared->metrics);
     if (settings.control) {
-        auto control = control_role::create(settings, options.initialConfiguration, prepared->metrics);
+        auto control = control_role::create(settings, prepared->metrics);
         if (!control.ok())
             return control.status();
         prepared->control = *std::move(control);
@@ -52,6 +48,10 @@
         prepared->balancer = *std::move(balancer);
         prepared->balancer->registerAt(router);
     }
+    prepared->health
+        = std::make_unique<health_api>([state = prepared.get()] { return readinessOf(state->balancer.get()); },
+            [state = prepared.get()] { return state->metrics.exposition(); });
+    prepared->health->registerAt(router);
     auto http = http_server::create(settings.http, std::move(router));
     if (!http.ok())
         return http.status();
@@ -76,6 +76,8 @@
     m_state->logger.emit(events::daemonStopping, "");
     if (m_state->balancer)
         m_state->balancer->leave();
+    if (m_state->control)
+        m_state->control->leave();
     m_state->logger.emit(events::daemonStopped, "");
 }
 
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -11,19 +11,13 @@
 
 namespace bilberryyard {
 
-struct daemon_options {
-    daemon_settings settings;
-    /// Initial configuration of a new deployment, for control hosts; empty for none.
-    std::string initialConfiguration;
-};
-
 /// The process: its roles, which find each other in a service_directory, and its HTTP server.
 class daemon {
 public:
     /// Opens all sockets and starts all threads.
-    /// @param options The options.
+    /// @param settings The settings.
     /// @return The daemon, or why it cannot start.
-    static absl::StatusOr<std::unique_ptr<daemon>> create(daemon_options const& options);
+    static absl::StatusOr<std::unique_ptr<daemon>> create(daemon_settings const& settings);
 
     daemon(daemon const&) = delete;
     daemon& operator=(daemon const&) = delete;
--- a/Services/Daemon/daemon_status.h
+++ b/Services/Daemon/daemon_status.h
@@ -15,7 +15,7 @@
     synchronisation state = synchronisation::Unsynchronised;
     std::optional<routed_peer> planner;
     std::shared_ptr<coordinated_configuration const> configuration;
-    std::vector<host_status> hosts;
+    std::vector<peer_status> hosts;
     std::vector<server_status> servers;
     std::map<service_id, std::shared_ptr<bucket_table const>> tables;
 };
--- a/Services/Daemon/main.cpp
+++ b/Services/Daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "control_duty.h"
 #include "daemon.h"
 
 #include <Base/error_kind.h>
@@ -10,13 +11,14 @@
 constexpr char usage[] = R"(bilberryyardd: the daemon of the bilberryyard layer-4 load balancer.
 
 Usage:
-  bilberryyardd --settings FILE [--initial-configuration FILE] [--check]
+  bilberryyardd --settings FILE [--check | --found-cluster]
   bilberryyardd --help
 
 Options:
-  --settings FILE               The settings of this host, see docs/settings.md.
-  --initial-configuration FILE  Configuration of a new deployment; control hosts use it when they have no log.
-  --check                       Check the settings and exit.
+  --settings FILE  The settings of this host, see docs/settings.md.
+  --check          Check the settings and exit.
+  --found-cluster  Make this control host a founding member of a new deployment's log, in an empty data folder, and
+                   exit. Never run it on a host that lost its disk: remove the host's member and add it again.
 )";
 
 volatile std::sig_atomic_t stopFlag = 0;
@@ -29,6 +31,14 @@
     return bilberryyard::answerFor(bilberryyard::errorKindOf(status)).exitCode;
 }
 
+int foundCluster(bilberryyard::event_logger const& logger, bilberryyard::daemon_settings const& settings)
+{
+    auto const status = settings.control ? bilberryyard::control_duty::found(settings)
+                                         : bilberryyard::makeError(bilberryyard::error_kind::InvalidArgument,
+                                             "the settings do not have the role control");
+    return status.ok() ? 0 : fail(logger, bilberryyard::events::startFailed, status);
+}
+
 int run(std::map<std::string, docopt::value> const& arguments)
 {
     bilberryyard::event_logger::configureProcess(bilberryyard::log_severity::Information);
@@ -39,13 +49,13 @@
     if (arguments.at("--check").asBool())
         return 0;
     bilberryyard::event_logger::configureProcess(settings->logLevel);
+    if (arguments.at("--found-cluster").asBool())
+        return foundCluster(logger, *settings);
     struct sigaction action { };
     action.sa_handler = handleSignal;
     sigaction(SIGTERM, &action, nullptr);
     sigaction(SIGINT, &action, nullptr);
-    auto const& initial = arguments.at("--initial-configuration");
-    auto const daemon
-        = bilberryyard::daemon::create({ *settings, initial.isString() ? initial.asString() : std::string() });
+    auto const daemon = bilberryyard::daemon::create(*settings);
     if (!daemon.ok())
         return fail(logger, bilberryyard::events::startFailed, daemon.status());
     (*daemon)->run([] { return stopFlag != 0; });
