Benchmarks: Add benchmark_mapping; Routing: Pass records past hosts that are no witness

Cause: with 3 witnesses the scenario 'twice in a row' broke 9 of 300,000 flows: a witness that had restarted got a record under its old incarnation and forwarded the SYN at once, so that the witness behind it had no entry. Change: a host that is no witness passes the record to the witness behind the sender, or drops the SYN when it cannot tell. benchmark_mapping runs the three routers on one trace and counts broken, stalled and wrong-service flows.

--- a/Libraries/Routing/flow_router.cpp
+++ b/Libraries/Routing/flow_router.cpp
@@ -29,10 +29,11 @@
     auto& routes = m_routes.at(*service);
     request asked { packet, origin, now, tickOf(now), { hashFlow(packet.key, m_view->hashSeed), routes.shortService() },
         routes };
+    bool const isRecord = origin && origin->kind == relay_kind::Record;
     if (!routes.table())
-        return relayToAnyPeer(asked);
+        return isRecord ? routeForeignRecord(asked) : relayToAnyPeer(asked);
     asked.index = routes.table()->bucketIndex(asked.id.hash);
-    if (origin && origin->kind == relay_kind::Record)
+    if (isRecord)
         return routeRecord(asked);
     if (!isSynchronised(now) && !decidesAlone(now))
         return relayToAnyPeer(asked);
@@ -190,13 +191,33 @@
     auto const server = asked.origin->server;
     if (!m_admission.conditionOf(server))
         return drop_packet { drop_reason::NoServer };
-    // A host that does not know yet that it is a witness has nothing to record: the transfer, which starts
-    // after it knows, brings the entry.
     if (!asked.routes.holds(asked.target()))
-        return deliver(asked, server);
+        return routeForeignRecord(asked);
     return recordAsWitness(asked, server);
 }
 
+// A record that reaches a host which is no witness, or does not know yet that it is one: views differ, or the host
+// restarted. It records nothing, but the witnesses behind it must not be left out.
+forwarding_action flow_router::routeForeignRecord(request const& asked)
+{
+    auto const server = asked.origin->server;
+    // The witnesses know the flow already; this packet would only have renewed their entries.
+    if (asked.packet.kind == packet_kind::TcpSegment)
+        return deliver(asked, server);
+    if (!asked.routes.table())
+        return drop_packet { drop_reason::NoPeer };
+    // In the first phase every choice equals base, with or without an entry.
+    if (asked.target().phase == bucket_phase::Stable)
+        return server == asked.target().current ? deliver(asked, server) : drop_packet { drop_reason::NoPeer };
+    auto const& groups = asked.plan().groups();
+    auto const number = asked.group();
+    if (number >= groups.size() || !groups[number].contains(asked.origin->sender))
+        return drop_packet { drop_reason::NoPeer };
+    if (auto const next = groups[number].nextAfter(asked.origin->sender, asked.origin->sender))
+        return relay(asked, *next, relay_kind::Record, number, server);
+    return deliver(asked, server);
+}
+
 forwarding_action flow_router::recordAsWitness(request const& asked, server_id server)
 {
     auto const& groups = asked.plan().groups();
@@ -243,8 +264,7 @@
     // A peer that is unsynchronised itself sent the packet here; another one may know better.
     if (asked.origin && peers[position].host == asked.origin->sender)
         position = (position + 1) % peers.size();
-    auto const kind = asked.origin ? asked.origin->kind : relay_kind::Lookup;
-    return relay(asked, peers[position].host, kind, asked.group(), asked.origin ? asked.origin->server : noServer);
+    return relay(asked, peers[position].host, relay_kind::Lookup, asked.group(), noServer);
 }
 
 forwarding_action flow_router::deliver(request const& asked, server_id server)
--- a/Libraries/Routing/flow_router.h
+++ b/Libraries/Routing/flow_router.h
@@ -106,6 +106,7 @@
     forwarding_action routeStable(request const& asked);
     forwarding_action routeSegment(request const& asked);
     forwarding_action routeRecord(request const& asked);
+    forwarding_action routeForeignRecord(request const& asked);
     forwarding_action recordAsWitness(request const& asked, server_id server);
     forwarding_action relayToAnyPeer(request const& asked);
 
--- a/Libraries/Routing/witness_plan.cpp
+++ b/Libraries/Routing/witness_plan.cpp
@@ -50,15 +50,17 @@
     return found == chain.end() ? std::nullopt : std::optional(*found);
 }
 
-std::optional<host_id> group_plan::nextAfter(host_id self, host_id sender) const
+std::optional<host_id> group_plan::nextAfter(host_id member, host_id sender) const
 {
-    auto const own = std::find(chain.begin(), chain.end(), self);
+    auto const own = std::find(chain.begin(), chain.end(), member);
     if (own == chain.end())
         return std::nullopt;
     auto const found = std::find_if(own + 1, chain.end(), [&](host_id host) { return host != sender; });
     return found == chain.end() ? std::nullopt : std::optional(*found);
 }
 
+bool group_plan::contains(host_id host) const { return std::find(chain.begin(), chain.end(), host) != chain.end(); }
+
 witness_plan::witness_plan(witness_set const& set, routing_view const& view)
 {
     for (uint8_t index = 0; index < set.count; ++index)
--- a/Libraries/Routing/witness_plan.h
+++ b/Libraries/Routing/witness_plan.h
@@ -21,10 +21,14 @@
     /// @return The first other live member, to which a witness that made a change tells it.
     std::optional<host_id> firstOther(host_id self) const;
 
-    /// @param self This host.
+    /// @param member A live member, normally this host.
     /// @param sender The host that told this one of a change.
-    /// @return The live member after this host, leaving out the sender.
-    std::optional<host_id> nextAfter(host_id self, host_id sender) const;
+    /// @return The live member after it, leaving out the sender.
+    std::optional<host_id> nextAfter(host_id member, host_id sender) const;
+
+    /// @param host A host.
+    /// @return Whether it is a live member.
+    bool contains(host_id host) const;
 };
 
 /// A witness set as one host sees it. A host is a witness only under its present incarnation.
--- /dev/null
+++ b/Utilities/Benchmarks/Mapping/mapping_network.h
@@ -0,0 +1,300 @@
+#pragma once
+
+#include "scripted_planner.h"
+#include <Routing/flow_explanation.h>
+#include <Routing/forwarding_action.h>
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace bilberryyard {
+
+/// Sizes of the trace.
+struct mapping_trace {
+    uint64_t seed = 1;
+    uint32_t openFlows = 300'000;
+    uint32_t newFlowsPerSecond = 5'000;
+    uint32_t segmentsPerSecond = 100'000;
+    uint32_t hosts = 5;
+};
+
+/// Results of one scenario with one router.
+struct mapping_result {
+    uint64_t packets = 0;
+    uint64_t relays = 0;
+    uint64_t brokenFlows = 0;
+    uint64_t wrongServiceFlows = 0;
+    uint64_t resentSyns = 0;
+    uint64_t delivered = 0;
+    /// Flows of which a segment at the end reached no server.
+    uint64_t stalledFlows = 0;
+    double imbalance = 0;
+};
+
+/// Runs one router on the seeded trace: every packet goes to a random balancer of those that the fabric uses, and
+/// view updates take 5 to 300 ms, differently for each host.
+template <typename Router>
+class mapping_network {
+public:
+    using milliseconds = std::chrono::milliseconds;
+
+    /// @param trace Sizes and seed.
+    /// @param planner The planner, in its first state.
+    mapping_network(mapping_trace const& trace, scripted_planner planner)
+        : m_trace(trace)
+        , m_random(trace.seed)
+        , m_delays(trace.seed + 1)
+        , m_planner(std::move(planner))
+        , m_hosts(trace.hosts + 1)
+    {
+        for (auto const& [host, incarnation] : m_planner.hosts()) {
+            m_hosts[host.value].router = std::make_unique<Router>();
+            apply(host, std::make_shared<routing_view const>(m_planner.viewOf(host)));
+            m_fabric.push_back(host);
+        }
+        for (uint32_t flow = 0; flow < trace.openFlows; ++flow)
+            openFlow(flow);
+    }
+
+    scripted_planner& planner() { return m_planner; }
+
+    /// Tells every host of the planner's present view.
+    void publish()
+    {
+        for (auto const& [host, incarnation] : m_planner.hosts()) {
+            auto& target = m_hosts[host.value];
+            target.lastUpdate = std::max(target.lastUpdate, m_now + milliseconds(5 + m_delays() % 295));
+            m_updates.emplace(
+                target.lastUpdate, std::pair { host, std::make_shared<routing_view const>(m_planner.viewOf(host)) });
+        }
+    }
+
+    /// A balancer fails; the fabric and the planner notice 2 s later.
+    void kill(host_id host)
+    {
+        m_hosts[host.value].router.reset();
+        m_detected.emplace(m_now + milliseconds(2'000), host);
+    }
+
+    /// A balancer restarts without memory under a new incarnation; the fabric uses it at once.
+    void restart(host_id host)
+    {
+        m_planner.addHost(host);
+        auto& target = m_hosts[host.value];
+        target = {};
+        target.router = std::make_unique<Router>();
+        auto blank = std::make_shared<routing_view>(m_planner.viewOf(host));
+        blank->state = synchronisation::Unsynchronised;
+        apply(host, blank);
+        target.versions.clear();
+        publish();
+    }
+
+    /// Sends segments, closes flows and opens new ones for a time.
+    /// @param time How long.
+    void run(milliseconds time)
+    {
+        auto const perSecond = m_trace.newFlowsPerSecond + m_trace.segmentsPerSecond;
+        auto const pause = std::chrono::nanoseconds(std::chrono::seconds(1)) / perSecond;
+        auto nextStep = m_now;
+        for (auto const end = m_now + time; m_now < end; m_now += pause) {
+            applyUpdates();
+            if (m_now >= nextStep) {
+                stepPlanner();
+                nextStep = m_now + milliseconds(20);
+            }
+            auto const flow = static_cast<uint32_t>(m_random() % m_trace.openFlows);
+            if (m_random() % perSecond < m_trace.newFlowsPerSecond) {
+                send(flow, packet_kind::TcpSegment, tcp_flags::fin | tcp_flags::ack);
+                openFlow(flow);
+            } else {
+                send(flow, packet_kind::TcpSegment, tcp_flags::ack | tcp_flags::psh);
+            }
+        }
+    }
+
+    /// Sends one more segment of every flow, so that a flow without deliveries shows.
+    void checkAllFlows()
+    {
+        for (uint32_t flow = 0; flow < m_trace.openFlows; ++flow) {
+            auto const before = m_result.delivered;
+            send(flow, packet_kind::TcpSegment, tcp_flags::ack | tcp_flags::psh);
+            m_result.stalledFlows += m_result.delivered == before ? 1 : 0;
+        }
+    }
+
+    /// @return The counts so far, with the imbalance of the servers of the first service that take new flows.
+    mapping_result result() const
+    {
+        auto result = m_result;
+        std::map<server_id, uint64_t> held;
+        for (auto const server : m_planner.serversOf({ 1 }))
+            held[server] = 0;
+        uint64_t total = 0;
+        for (auto const& flow : m_flows) {
+            auto const found = held.find(flow.server);
+            if (found == held.end())
+                continue;
+            ++found->second;
+            ++total;
+        }
+        for (auto const& [server, count] : held)
+            result.imbalance = std::max(result.imbalance,
+                static_cast<double>(count) * static_cast<double>(held.size()) / static_cast<double>(total));
+        return result;
+    }
+
+private:
+    struct network_host {
+        std::unique_ptr<Router> router;
+        monotonic_time lastUpdate;
+        std::map<service_id, uint64_t> versions;
+    };
+
+    struct open_flow {
+        flow_key key;
+        service_id service;
+        server_id server = noServer;
+        bool broken = false;
+        bool misdelivered = false;
+    };
+
+    void openFlow(uint32_t flow)
+    {
+        m_flows.resize(std::max<size_t>(m_flows.size(), flow + 1));
+        auto const number = m_opened++;
+        // One flow in ten belongs to the second service.
+        service_id const service { number % 10 == 0 ? 2U : 1U };
+        m_flows[flow] = { { ip_address::fromIpv4(0x0A000000U + number / 60'000), benchmarkAddress(service),
+                              static_cast<uint16_t>(1'024 + number % 60'000), 80 },
+            service };
+        send(flow, packet_kind::TcpSyn, tcp_flags::syn);
+        send(flow, packet_kind::TcpSegment, tcp_flags::ack);
+    }
+
+    void send(uint32_t number, packet_kind kind, uint8_t flags)
+    {
+        auto& flow = m_flows[number];
+        ++m_result.packets;
+        // A caller without an answer retransmits its SYN.
+        if (flow.server == noServer && kind != packet_kind::TcpSyn) {
+            ++m_result.resentSyns;
+            kind = packet_kind::TcpSyn;
+            flags = tcp_flags::syn;
+        }
+        parsed_packet const packet { flow.key, kind, flags, 1, 1, (flags & tcp_flags::psh) != 0 ? 100U : 0U };
+        packet_origin origin;
+        auto host = m_fabric[m_random() % m_fabric.size()];
+        while (auto* router = m_hosts[host.value].router.get()) {
+            auto const action = router->route(packet, origin, m_now);
+            auto const* relay = std::get_if<relay_to_host>(&action);
+            if (!relay)
+                return arrive(flow, kind, action);
+            ++m_result.relays;
+            host = relay->host;
+            origin = relay->header;
+        }
+    }
+
+    void arrive(open_flow& flow, packet_kind kind, forwarding_action const& action)
+    {
+        auto const* forward = std::get_if<forward_to_server>(&action);
+        m_result.delivered += forward ? 1 : 0;
+        if (forward && kind == packet_kind::TcpSyn && flow.server == noServer) {
+            flow.server = forward->server;
+            return;
+        }
+        bool const misdelivered = forward && forward->server.value / 100 != flow.service.value;
+        m_result.wrongServiceFlows += misdelivered && !flow.misdelivered ? 1 : 0;
+        flow.misdelivered = flow.misdelivered || misdelivered;
+        bool const broken = forward ? forward->server != flow.server : std::holds_alternative<reject_packet>(action);
+        m_result.brokenFlows += broken && !flow.broken ? 1 : 0;
+        flow.broken = flow.broken || broken;
+    }
+
+    void apply(host_id host, std::shared_ptr<routing_view const> const& view)
+    {
+        auto& target = m_hosts[host.value];
+        if (!target.router || view->self.incarnation != m_planner.hosts().at(host))
+            return;
+        target.router->setView(view);
+        for (auto const& [service, table] : view->tables)
+            target.versions[service] = table->version();
+    }
+
+    void applyUpdates()
+    {
+        while (!m_updates.empty() && m_updates.begin()->first <= m_now) {
+            auto const [host, view] = m_updates.begin()->second;
+            m_updates.erase(m_updates.begin());
+            if (m_planner.hosts().contains(host))
+                apply(host, view);
+        }
+        while (!m_detected.empty() && m_detected.begin()->first <= m_now) {
+            auto const host = m_detected.begin()->second;
+            m_detected.erase(m_detected.begin());
+            m_planner.removeHost(host);
+            std::erase(m_fabric, host);
+            publish();
+        }
+    }
+
+    void stepPlanner()
+    {
+        auto const allHave = [this](service_id service, uint64_t version) {
+            return std::all_of(m_planner.hosts().begin(), m_planner.hosts().end(), [&](auto const& member) {
+                auto const& host = m_hosts[member.first.value];
+                auto const found = host.versions.find(service);
+                return !host.router || (found != host.versions.end() && found->second >= version);
+            });
+        };
+        bool const changed = m_planner.step(allHave, [this](auto const& order) { return transfer(order); });
+        if (changed)
+            publish();
+        if constexpr (requires(Router router) { router.expire(monotonic_time {}, 1); }) {
+            for (auto& host : m_hosts) {
+                if (host.router)
+                    host.router->expire(m_now, 1'000);
+            }
+        }
+    }
+
+    bool transfer(scripted_planner::transfer_order const& order)
+    {
+        if constexpr (requires(Router router) { router.expire(monotonic_time {}, 1); }) {
+            auto const* from = m_hosts[order.from.value].router.get();
+            auto* to = m_hosts[order.to.value].router.get();
+            // A host whose failure was not detected yet answers nothing.
+            if (!from || !to)
+                return false;
+            transfer_cursor cursor;
+            for (bool done = false; !done;) {
+                auto const batch = from->exportFlows(order.service, std::span(&order.bucket, 1), cursor, 100);
+                if (!to->importFlows(order.service, batch.flows, m_now).ok())
+                    return false;
+                cursor = batch.next;
+                done = batch.done;
+            }
+        }
+        return true;
+    }
+
+    mapping_trace m_trace;
+    std::mt19937_64 m_random;
+    /// Apart from m_random, so that all routers see the same trace of packets.
+    std::mt19937_64 m_delays;
+    scripted_planner m_planner;
+    std::vector<network_host> m_hosts;
+    std::vector<host_id> m_fabric;
+    std::vector<open_flow> m_flows;
+    std::multimap<monotonic_time, std::pair<host_id, std::shared_ptr<routing_view const>>> m_updates;
+    std::multimap<monotonic_time, host_id> m_detected;
+    monotonic_time m_now { std::chrono::hours(1) };
+    uint32_t m_opened = 0;
+    mapping_result m_result;
+};
+
+} // namespace bilberryyard
