Consensus: Add seeds with short leaderships and few proposals

Cause: with commits of earlier terms or votes against the lease switched off, the first schedules found nothing. Change: fault profiles for both, single cut links.

--- a/Libraries/Consensus/consensus_member_requests.h
+++ b/Libraries/Consensus/consensus_member_requests.h
@@ -228,7 +228,7 @@
     if (m_role != consensus_role::Leader)
         return m_electionDeadline;
     auto deadline = m_heartbeatDue;
-    if (configuration().voterCount() > 1)
+    if (Policy::checksLease && configuration().voterCount() > 1)
         deadline = std::min(deadline, majorityContact(contact_kind::WithGrace) + m_settings.lease + duration(1));
     return m_transfer ? std::min(deadline, m_transfer->deadline) : deadline;
 }
--- a/Tests/Consensus/cluster_simulation.h
+++ b/Tests/Consensus/cluster_simulation.h
@@ -29,7 +29,7 @@
     using host_type = simulated_host<Policy>;
     static constexpr int64_t millisecond = 1'000'000;
 
-    cluster_simulation(uint64_t seed, size_t hostCount, tracing traces)
+    cluster_simulation(uint64_t seed, size_t hostCount, uint64_t appendBytes, tracing traces)
         : random(seed)
         , m_tracing(traces)
     {
@@ -41,6 +41,7 @@
         for (size_t i = 0; i < hostCount; ++i) {
             auto& host = *hosts.emplace_back(std::make_unique<host_type>());
             host.number = i;
+            host.appendBytes = appendBytes;
             host.clockOffset = static_cast<int64_t>(random.below(1'000'000'000'000));
             host.clockRate = 970 + static_cast<int64_t>(random.below(60));
             require(host.initialize(bilberryyard::member_id { static_cast<uint32_t>(i + 1) }, founding), host);
--- a/Tests/Consensus/schedule_runner.h
+++ b/Tests/Consensus/schedule_runner.h
@@ -7,16 +7,29 @@
 class schedule_runner {
 public:
     schedule_runner(uint64_t seed, tracing traces)
-        : m_cluster(seed, seed % 2 == 0 ? 3 : 5, traces)
+        : m_cluster(seed, seed % 2 == 0 ? 3 : 5, isChurn(seed) ? 1 : 300, traces)
+        , m_churn(isChurn(seed))
+        , m_quiet(isQuiet(seed))
+        , m_faultInterval(100 + random().below(900))
     {
     }
 
+    /// @return Whether most faults of a seed end a leadership shortly after the election.
+    static bool isChurn(uint64_t seed) { return seed % 8 == 5; }
+
+    /// @return Whether a seed has few proposals.
+    static bool isQuiet(uint64_t seed) { return seed % 8 == 6; }
+
     schedule_result run()
     {
-        scheduleFault();
+        if (m_churn) {
+            m_cluster.lostMessages = 30;
+            scheduleChurn();
+        } else {
+            scheduleFault();
+        }
         scheduleCaller();
         scheduleOperator();
-        // Part of the schedules run the mechanisms under a healthy network first.
         m_cluster.runUntil(faultTime);
         settle();
         return m_cluster.finish();
@@ -25,7 +38,7 @@
 private:
     using host_type = simulated_host<Policy>;
     static constexpr int64_t millisecond = cluster_simulation<Policy>::millisecond;
-    static constexpr int64_t faultTime = 4000 * millisecond;
+    static constexpr int64_t faultTime = 8000 * millisecond;
     static constexpr int64_t settleTime = 20000 * millisecond;
 
     seeded_random& random() { return m_cluster.random; }
@@ -38,7 +51,8 @@
 
     void scheduleFault()
     {
-        m_cluster.at(soon(120), [this] {
+        // Some seeds leave the members more time between two faults, so that they get further.
+        m_cluster.at(soon(m_faultInterval), [this] {
             if (m_cluster.now >= faultTime)
                 return;
             injectFault();
@@ -59,9 +73,14 @@
                 crash(*leader, random().chance(70));
             break;
         case 3:
-        case 4:
             partition();
             break;
+        case 4:
+            if (m_cluster.leader() && random().chance(70))
+                cutLink(m_cluster.leader()->number, host.number);
+            else
+                cutLinks();
+            break;
         case 5:
             isolate(random().chance(50) && m_cluster.leader() ? *m_cluster.leader() : host);
             break;
@@ -99,6 +118,38 @@
         m_cluster.at(soon(600), [this, &host] { restart(host); });
     }
 
+    /// Ends leaderships shortly after their elections, when their entries have reached few members: what those
+    /// hold must then neither commit early nor block others.
+    void scheduleChurn()
+    {
+        m_cluster.at(soon(20), [this] {
+            if (m_cluster.now >= faultTime)
+                return;
+            auto* leader = m_cluster.leader();
+            if (leader && random().chance(50))
+                crash(*leader, random().chance(50));
+            else if (random().chance(20))
+                cutLinks();
+            else if (random().chance(10))
+                m_cluster.heal();
+            scheduleChurn();
+        });
+    }
+
+    void cutLink(size_t first, size_t second)
+    {
+        m_cluster.block(first, second, true);
+        m_cluster.block(second, first, true);
+    }
+
+    void cutLinks()
+    {
+        auto const count = m_cluster.hosts.size();
+        auto const percent = random().below(50);
+        for (size_t link = 0; link < count * count; ++link)
+            m_cluster.block(link / count, link % count, random().chance(percent));
+    }
+
     void restart(host_type& host)
     {
         if (!host.isRunning() && !host.diskIsLost)
@@ -147,7 +198,7 @@
         m_cluster.duplicatedMessages = random().below(15);
         m_cluster.slowMessages = random().chance(50) ? random().below(20) : 0;
         m_cluster.slowSyncs = random().below(20);
-        m_cluster.storageFailures = random().chance(30) ? 1 + random().below(3) : 0;
+        m_cluster.storageFailures = random().chance(50) ? 1 + random().below(5) : 0;
     }
 
     void transfer(host_type& leader)
@@ -176,8 +227,8 @@
         m_cluster.trace(host, "loses its disk");
         ++m_cluster.result.diskLosses;
         host.files.loseDisk();
-        if constexpr (!Policy::rejoinsAsLearner) {
-            // The rule that is switched off: the member returns as the founding voter it was.
+        // The rule that is switched off: the member returns as the founding voter it was.
+        if (!Policy::rejoinsAsLearner && m_cluster.founding.contains(host.id)) {
             if (host.initialize(host.id, m_cluster.founding).ok())
                 m_cluster.start(host);
             return;
@@ -200,10 +251,12 @@
         auto* leader = m_cluster.leader();
         auto& target = leader && random().chance(70) ? *leader : anyHost();
         if (random().chance(40)) {
-            m_cluster.read(anyHost());
-            if (leader)
-                m_cluster.read(*leader);
+            for (auto const& host : m_cluster.hosts)
+                m_cluster.read(*host);
         }
+        // A member that is cut off from the leader alone can win an election only while little is proposed.
+        if (m_quiet && random().chance(97))
+            return;
         auto& unfinished = m_cluster.unfinishedRequests;
         if (!unfinished.empty() && random().chance(50)) {
             m_cluster.propose(target, unfinished.back());
@@ -328,5 +381,9 @@
     }
 
     cluster_simulation<Policy> m_cluster;
+    bool m_churn;
+    bool m_quiet;
+    /// Longest time between two faults in milliseconds.
+    uint64_t m_faultInterval;
     uint64_t m_requests = 0;
 };
--- a/Tests/Consensus/simulated_host.h
+++ b/Tests/Consensus/simulated_host.h
@@ -16,7 +16,6 @@
     settings.electionTimeoutMinimum = milliseconds(300);
     settings.electionTimeoutMaximum = milliseconds(600);
     settings.lease = milliseconds(200);
-    settings.maximumAppendBytes = 300;
     settings.maximumInflightAppends = 3;
     settings.snapshotChunkBytes = 100;
     settings.snapshotInterval = 24;
@@ -36,6 +35,8 @@
     std::optional<bilberryyard::consensus_member<Policy>> member;
     applied_state state;
     bilberryyard::member_id id;
+    /// With 1, each message carries a single entry.
+    uint64_t appendBytes = 300;
     /// Events of earlier processes on the host are ignored.
     uint64_t process = 0;
     int64_t clockOffset = 0;
@@ -72,8 +73,10 @@
         storage.emplace(*std::move(opened));
         if (!storage->identity())
             return bilberryyard::makeError(bilberryyard::error_kind::FailedPrecondition, "no identity");
+        auto settings = scheduleSettings();
+        settings.maximumAppendBytes = appendBytes;
         auto created = bilberryyard::consensus_member<Policy>::create(
-            *storage->identity(), scheduleSettings(), storage->takeRestored(), seed, localTime(now));
+            *storage->identity(), settings, storage->takeRestored(), seed, localTime(now));
         if (!created.ok())
             return created.status();
         member.emplace(*std::move(created));
