--- /dev/null
+++ b/Tests/Consensus/test_member_rules.cpp
@@ -0,0 +1,363 @@
+#include "member_fixture.h"
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bilberryyard;
+using std::chrono::milliseconds;
+
+namespace {
+
+enum class contact : uint8_t {
+    None,
+    JustNow,
+};
+
+struct vote_row {
+    char const* name;
+    vote_record own;
+    contact leader;
+    vote_request request;
+    /// Nothing when the request is to be ignored.
+    std::optional<vote_decision> expected;
+    term_number termAfter;
+};
+std::ostream& operator<<(std::ostream& stream, vote_row const& row) { return stream << row.name; }
+
+constexpr auto preVote = vote_phase::PreVote;
+constexpr auto vote = vote_phase::Vote;
+constexpr auto timeout = election_cause::Timeout;
+constexpr auto transfer = election_cause::Transfer;
+constexpr auto granted = vote_decision::Granted;
+constexpr auto refused = vote_decision::Refused;
+
+// The member's log has terms 1, 2, 2.
+vote_row const voteRows[] = {
+    { "same log", { 2, {} }, contact::None, { vote, timeout, 3, 3, 2 }, granted, 3 },
+    { "longer log", { 2, {} }, contact::None, { vote, timeout, 3, 9, 2 }, granted, 3 },
+    { "shorter log of a later term", { 2, {} }, contact::None, { vote, timeout, 4, 1, 3 }, granted, 4 },
+    { "shorter log", { 2, {} }, contact::None, { vote, timeout, 3, 2, 2 }, refused, 3 },
+    { "longer log of an earlier term", { 2, {} }, contact::None, { vote, timeout, 3, 9, 1 }, refused, 3 },
+    { "earlier term", { 5, {} }, contact::None, { vote, timeout, 4, 3, 2 }, refused, 5 },
+    { "voted for another", { 3, member_id { 3 } }, contact::None, { vote, timeout, 3, 3, 2 }, refused, 3 },
+    { "voted for the same", { 3, member_id { 2 } }, contact::None, { vote, timeout, 3, 3, 2 }, granted, 3 },
+    { "leader is alive", { 2, {} }, contact::JustNow, { vote, timeout, 3, 3, 2 }, std::nullopt, 2 },
+    { "leader gave up", { 2, {} }, contact::JustNow, { vote, transfer, 3, 3, 2 }, granted, 3 },
+    { "pre-vote", { 2, {} }, contact::None, { preVote, timeout, 3, 3, 2 }, granted, 2 },
+    { "pre-vote with a short log", { 2, {} }, contact::None, { preVote, timeout, 3, 2, 2 }, refused, 2 },
+    { "pre-vote for the current term", { 3, {} }, contact::None, { preVote, timeout, 3, 3, 2 }, refused, 3 },
+    { "pre-vote while the leader is alive", { 2, {} }, contact::JustNow, { preVote, timeout, 3, 3, 2 }, refused, 2 },
+};
+
+BOOST_AUTO_TEST_SUITE(member_rules)
+
+// Guards against votes that elect a leader without the committed entries, or two leaders.
+BOOST_DATA_TEST_CASE(vote_rule, voteRows, row)
+{
+    member_fixture fixture({ 1, 2, 2 }, row.own);
+    fixture.pass(milliseconds(799));
+    if (row.leader == contact::None)
+        fixture.pass(milliseconds(1));
+    else
+        fixture.receive(3, 2, append_request { 3, 2, 0, 0, {} });
+    fixture.actions();
+    fixture.receive(2, 2, row.request);
+    auto const answer = member_fixture::sent<vote_response>(fixture.actions());
+    BOOST_TEST(answer.has_value() == row.expected.has_value());
+    if (answer && row.expected)
+        BOOST_CHECK(answer->decision == *row.expected);
+    BOOST_TEST(fixture.member->term() == row.termAfter);
+}
+
+// Guards against a member that restarts and forgets the lease it supported.
+BOOST_AUTO_TEST_CASE(no_vote_right_after_the_start)
+{
+    member_fixture fixture({ 1 });
+    fixture.receive(2, 1, vote_request { vote, timeout, 2, 1, 1 });
+    BOOST_TEST(!member_fixture::sent<vote_response>(fixture.actions()).has_value());
+}
+
+struct append_row {
+    char const* name;
+    log_index previousIndex;
+    term_number previousTerm;
+    std::vector<term_number> entries;
+    append_outcome outcome;
+    log_index matchIndex;
+    term_number conflictTerm;
+    log_index conflictIndex;
+    log_index lastIndex;
+};
+std::ostream& operator<<(std::ostream& stream, append_row const& row) { return stream << row.name; }
+
+constexpr auto accepted = append_outcome::Accepted;
+constexpr auto mismatch = append_outcome::Mismatch;
+
+// The member's log has terms 1, 1, 2, 2, 2; the leader's term is 6.
+append_row const appendRows[] = {
+    { "heartbeat", 5, 2, {}, accepted, 5, 0, 0, 5 },
+    { "heartbeat before the end", 3, 2, {}, accepted, 3, 0, 0, 5 },
+    { "next entry", 5, 2, { 6 }, accepted, 6, 0, 0, 6 },
+    { "known entries", 2, 1, { 2, 2 }, accepted, 4, 0, 0, 5 },
+    { "conflicting tail", 3, 2, { 6 }, accepted, 4, 0, 0, 4 },
+    { "from the beginning", 0, 0, { 1, 1, 6 }, accepted, 3, 0, 0, 3 },
+    { "gap", 9, 2, { 6 }, mismatch, 0, 0, 6, 5 },
+    { "other term", 5, 4, { 6 }, mismatch, 0, 2, 3, 5 },
+    { "other term at the first run", 2, 2, { 6 }, mismatch, 0, 1, 1, 5 },
+};
+
+// Guards against logs that differ below a matching entry, and against slow back-up.
+BOOST_DATA_TEST_CASE(append_rule, appendRows, row)
+{
+    member_fixture fixture({ 1, 1, 2, 2, 2 });
+    append_request request { row.previousIndex, row.previousTerm, 0, 42, {} };
+    for (auto const term : row.entries)
+        request.entries.push_back(
+            { term, row.previousIndex + request.entries.size() + 1, entry_kind::Application, "new" });
+    fixture.receive(2, 6, request);
+    auto const answer = member_fixture::sent<append_response>(fixture.actions());
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_CHECK(answer->outcome == row.outcome);
+    BOOST_TEST(answer->matchIndex == row.matchIndex);
+    BOOST_TEST(answer->conflictTerm == row.conflictTerm);
+    BOOST_TEST(answer->conflictIndex == row.conflictIndex);
+    BOOST_TEST(answer->sentAt == 42);
+    BOOST_TEST(fixture.member->lastIndex() == row.lastIndex);
+}
+
+// Guards against votes and acknowledgements that leave before their state is durable.
+BOOST_AUTO_TEST_CASE(responses_wait_for_the_sync)
+{
+    member_fixture fixture({ 1 });
+    fixture.receive(2, 1, append_request { 1, 1, 0, 0, { { 1, 2, entry_kind::Application, "a" } } });
+    auto const first = fixture.actions(false);
+    BOOST_TEST(!member_fixture::sent<append_response>(first).has_value());
+    auto const request = member_fixture::last<persist_request>(first);
+    BOOST_REQUIRE(request.has_value());
+    // A second entry waits for its own sync.
+    fixture.receive(2, 1, append_request { 2, 1, 0, 0, { { 1, 3, entry_kind::Application, "b" } } });
+    BOOST_TEST(!member_fixture::sent<append_response>(fixture.actions(false)).has_value());
+    fixture.member->persistCompleted(request->sequence, fixture.now);
+    auto const second = fixture.actions(false);
+    BOOST_REQUIRE(member_fixture::sent<append_response>(second).has_value());
+    BOOST_TEST(member_fixture::sent<append_response>(second)->matchIndex == 2u);
+    BOOST_TEST(member_fixture::last<persist_request>(second)->entries.size() == 1u);
+}
+
+// Guards against an acknowledgement after a write error.
+BOOST_AUTO_TEST_CASE(write_error_stops_the_member)
+{
+    member_fixture fixture({ 1 });
+    fixture.elect();
+    fixture.actions();
+    fixture.acknowledge();
+    fixture.actions();
+    fixture.member->propose(7, "x", fixture.now);
+    fixture.actions(false);
+    fixture.member->persistFailed(makeError(error_kind::ResourceExhausted, "no space"), fixture.now);
+    fixture.acknowledge();
+    auto const actions = fixture.actions();
+    BOOST_CHECK(member_fixture::last<proposal_answer>(actions)->outcome == proposal_outcome::Unknown);
+    BOOST_TEST(!member_fixture::sent<append_request>(actions).has_value());
+    BOOST_CHECK(fixture.member->role() == consensus_role::Stopped);
+    fixture.member->propose(8, "y", fixture.now);
+    auto const answer = member_fixture::last<proposal_answer>(fixture.actions());
+    BOOST_CHECK(answer->outcome == proposal_outcome::Rejected);
+    BOOST_TEST(messageOf(answer->status).find("no space") != std::string::npos);
+}
+
+// Guards against an isolated leader that accepts changes or serves reads as current (F4).
+BOOST_AUTO_TEST_CASE(leader_without_majority_steps_down)
+{
+    member_fixture fixture({ 1 });
+    fixture.elect();
+    fixture.actions();
+    fixture.acknowledge();
+    fixture.actions();
+    fixture.member->read(1, fixture.now);
+    BOOST_TEST(member_fixture::last<read_answer>(fixture.actions())->status.ok());
+    fixture.pass(milliseconds(600));
+    fixture.member->read(2, fixture.now);
+    BOOST_TEST(member_fixture::last<read_answer>(fixture.actions())->status.ok());
+    fixture.pass(milliseconds(1));
+    fixture.member->read(3, fixture.now);
+    auto const read = member_fixture::last<read_answer>(fixture.actions());
+    BOOST_CHECK(errorKindOf(read->status) == error_kind::Unavailable);
+    BOOST_CHECK(read->age == std::optional<duration>(milliseconds(601)));
+    fixture.member->propose(4, "x", fixture.now);
+    auto const answer = member_fixture::last<proposal_answer>(fixture.actions());
+    BOOST_CHECK(answer->outcome == proposal_outcome::Rejected);
+    BOOST_CHECK(errorKindOf(answer->status) == error_kind::Unavailable);
+}
+
+// Guards against a commit that counts an entry of an earlier term (Ongaro 2014, figure 3.7).
+BOOST_AUTO_TEST_CASE(earlier_terms_commit_with_the_own_term_only)
+{
+    member_fixture fixture({ 1, 1 });
+    fixture.elect();
+    fixture.actions();
+    auto const sentAt = fixture.now.time_since_epoch().count();
+    fixture.receive(2, fixture.member->term(), append_response { accepted, sentAt, 2, 0, 0, 0 });
+    fixture.actions();
+    BOOST_TEST(fixture.member->commitIndex() == 0u);
+    fixture.acknowledge();
+    fixture.actions();
+    BOOST_TEST(fixture.member->commitIndex() == 3u);
+}
+
+// Guards against a graceful stop that loses proposals or waits for an election timeout.
+BOOST_AUTO_TEST_CASE(transfer_waits_for_the_successor)
+{
+    member_fixture fixture({ 1 });
+    fixture.elect();
+    fixture.actions();
+    fixture.member->propose(1, "x", fixture.now);
+    BOOST_TEST(fixture.member->transferLeadership(fixture.now).ok());
+    fixture.member->propose(2, "y", fixture.now);
+    auto const before = fixture.actions();
+    BOOST_CHECK(member_fixture::last<proposal_answer>(before)->outcome == proposal_outcome::Rejected);
+    BOOST_TEST(!member_fixture::sent<timeout_now>(before).has_value());
+    fixture.acknowledge();
+    auto const after = fixture.actions();
+    BOOST_CHECK(member_fixture::last<proposal_answer>(after)->outcome == proposal_outcome::Accepted);
+    BOOST_TEST(member_fixture::sent<timeout_now>(after).has_value());
+    BOOST_CHECK(fixture.member->role() == consensus_role::Follower);
+}
+
+struct refused_row {
+    char const* name;
+    uint64_t cluster;
+    uint32_t sender;
+    uint32_t receiver;
+};
+std::ostream& operator<<(std::ostream& stream, refused_row const& row) { return stream << row.name; }
+refused_row const refusedRows[] = {
+    { "other cluster", 2, 2, 1 },
+    { "other receiver", 1, 2, 4 },
+    { "no sender", 1, 0, 1 },
+    { "own identifier", 1, 1, 1 },
+    { "removed sender", 1, 3, 1 },
+};
+
+// Guards against members of other clusters, and against a removed identity that returns (F6).
+BOOST_DATA_TEST_CASE(message_of_a_stranger_is_refused, refusedRows, row)
+{
+    member_fixture fixture({ 1 });
+    fixture.elect();
+    fixture.actions();
+    fixture.acknowledge();
+    fixture.actions();
+    fixture.member->changeMembership(1, { membership_change_kind::Remove, member_id { 3 }, {} }, fixture.now);
+    fixture.actions();
+    fixture.acknowledge();
+    BOOST_CHECK(member_fixture::last<proposal_answer>(fixture.actions())->outcome == proposal_outcome::Accepted);
+    auto const term = fixture.member->term();
+    fixture.member->receive({ row.cluster, member_id { row.sender }, member_id { row.receiver }, term + 9,
+                                vote_request { vote, transfer, term + 9, 99, term + 8 } },
+        fixture.now);
+    auto const actions = fixture.actions();
+    BOOST_TEST(fixture.member->counters().messagesRefused == 1u);
+    BOOST_TEST(fixture.member->term() == term);
+    BOOST_TEST(member_fixture::sent<removal_notice>(actions).has_value() == (row.sender == 3));
+}
+
+struct change_row {
+    char const* name;
+    membership_change change;
+    error_kind expected;
+};
+std::ostream& operator<<(std::ostream& stream, change_row const& row) { return stream << row.name; }
+change_row const changeRows[] = {
+    { "used identifier", { membership_change_kind::AddLearner, member_id { 3 }, "x" }, error_kind::FailedPrecondition },
+    { "address of a member", { membership_change_kind::AddLearner, member_id { 9 }, "host3" },
+        error_kind::FailedPrecondition },
+    { "promote a voter", { membership_change_kind::Promote, member_id { 2 }, {} }, error_kind::FailedPrecondition },
+    { "promote a stranger", { membership_change_kind::Promote, member_id { 9 }, {} }, error_kind::NotFound },
+    { "promote a learner that lags", { membership_change_kind::Promote, member_id { 4 }, {} },
+        error_kind::FailedPrecondition },
+    { "remove a stranger", { membership_change_kind::Remove, member_id { 9 }, {} }, error_kind::NotFound },
+};
+
+// Guards against membership changes that reuse identities or let a member vote that lacks entries.
+BOOST_DATA_TEST_CASE(membership_change_is_rejected, changeRows, row)
+{
+    member_fixture fixture({ 1 });
+    fixture.elect();
+    fixture.actions();
+    fixture.acknowledge();
+    fixture.actions();
+    fixture.member->changeMembership(1, { membership_change_kind::AddLearner, member_id { 4 }, "new" }, fixture.now);
+    fixture.actions();
+    // One change at a time: the first is not committed yet.
+    fixture.member->changeMembership(2, row.change, fixture.now);
+    BOOST_CHECK(errorKindOf(member_fixture::last<proposal_answer>(fixture.actions())->status)
+        == error_kind::FailedPrecondition);
+    fixture.acknowledge();
+    fixture.actions();
+    fixture.member->changeMembership(3, row.change, fixture.now);
+    auto const answer = member_fixture::last<proposal_answer>(fixture.actions());
+    BOOST_CHECK(answer->outcome == proposal_outcome::Rejected);
+    BOOST_CHECK(errorKindOf(answer->status) == row.expected);
+}
+
+struct settings_row {
+    char const* name;
+    void (*spoil)(consensus_settings&);
+};
+std::ostream& operator<<(std::ostream& stream, settings_row const& row) { return stream << row.name; }
+settings_row const settingsRows[] = {
+    { "heartbeat", [](consensus_settings& settings) { settings.heartbeatInterval = {}; } },
+    { "short lease", [](consensus_settings& settings) { settings.lease = settings.heartbeatInterval; } },
+    { "long lease", [](consensus_settings& settings) { settings.lease = settings.electionTimeoutMinimum; } },
+    { "timeouts",
+        [](consensus_settings& settings) { settings.electionTimeoutMaximum = settings.electionTimeoutMinimum; } },
+    { "inflight", [](consensus_settings& settings) { settings.maximumInflightAppends = 0; } },
+    { "chunk", [](consensus_settings& settings) { settings.snapshotChunkBytes = 0; } },
+    { "proposals", [](consensus_settings& settings) { settings.maximumPendingProposals = 0; } },
+};
+
+// Guards against settings under which the lease outlives the followers' promise or nothing is sent.
+BOOST_DATA_TEST_CASE(settings_out_of_range_are_refused, settingsRows, row)
+{
+    consensus_settings settings;
+    BOOST_TEST(settings.validate().ok());
+    row.spoil(settings);
+    BOOST_CHECK(errorKindOf(settings.validate()) == error_kind::InvalidArgument);
+}
+
+// Guards against unbounded queues and messages.
+BOOST_AUTO_TEST_CASE(proposals_and_messages_are_bounded)
+{
+    consensus_settings settings;
+    settings.maximumPendingProposals = 20;
+    settings.maximumAppendBytes = 1000;
+    settings.maximumInflightAppends = 2;
+    settings.maximumPayloadBytes = 400;
+    member_fixture fixture({ 1 }, {}, settings);
+    fixture.elect();
+    fixture.actions();
+    fixture.acknowledge();
+    fixture.actions();
+    for (uint64_t token = 1; token <= 21; ++token)
+        fixture.member->propose(token, std::string(400, 'x'), fixture.now);
+    fixture.member->propose(30, std::string(401, 'x'), fixture.now);
+    size_t messages = 0;
+    std::vector<error_kind> errors;
+    for (auto const& action : fixture.actions()) {
+        if (auto const* answer = std::get_if<proposal_answer>(&action))
+            errors.push_back(errorKindOf(answer->status));
+        auto const* message = std::get_if<send_message>(&action);
+        if (!message || message->message.receiver != member_id { 2 })
+            continue;
+        ++messages;
+        BOOST_TEST(std::get<append_request>(message->message.body).entries.size() == 2u);
+    }
+    BOOST_TEST(messages == 2u);
+    BOOST_REQUIRE(errors.size() == 2u);
+    BOOST_CHECK(errors[0] == error_kind::ResourceExhausted);
+    BOOST_CHECK(errors[1] == error_kind::InvalidArgument);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
--- a/Tests/Consensus/test_schedules.cpp
+++ b/Tests/Consensus/test_schedules.cpp
@@ -88,12 +88,30 @@
 }
 
 // Each guards against a harness that would not notice the loss of the mechanism.
-BOOST_AUTO_TEST_CASE(answering_before_sync_is_noticed) { BOOST_TEST(firstViolation<answers_before_sync>(3000).has_value()); }
-BOOST_AUTO_TEST_CASE(committing_earlier_terms_is_noticed) { BOOST_TEST(firstViolation<commits_earlier_terms>(24000, 5, 8).has_value()); }
-BOOST_AUTO_TEST_CASE(reading_without_lease_is_noticed) { BOOST_TEST(firstViolation<reads_without_lease>(3000).has_value()); }
-BOOST_AUTO_TEST_CASE(voting_against_the_lease_is_noticed) { BOOST_TEST(firstViolation<votes_against_lease>(24000, 6, 8).has_value()); }
-BOOST_AUTO_TEST_CASE(concurrent_changes_are_noticed) { BOOST_TEST(firstViolation<changes_concurrently>(3000).has_value()); }
-BOOST_AUTO_TEST_CASE(returning_as_voter_without_disk_is_noticed) { BOOST_TEST(firstViolation<returns_after_lost_disk>(3000).has_value()); }
+BOOST_AUTO_TEST_CASE(answering_before_sync_is_noticed)
+{
+    BOOST_TEST(firstViolation<answers_before_sync>(3000).has_value());
+}
+BOOST_AUTO_TEST_CASE(committing_earlier_terms_is_noticed)
+{
+    BOOST_TEST(firstViolation<commits_earlier_terms>(24000, 5, 8).has_value());
+}
+BOOST_AUTO_TEST_CASE(reading_without_lease_is_noticed)
+{
+    BOOST_TEST(firstViolation<reads_without_lease>(3000).has_value());
+}
+BOOST_AUTO_TEST_CASE(voting_against_the_lease_is_noticed)
+{
+    BOOST_TEST(firstViolation<votes_against_lease>(24000, 6, 8).has_value());
+}
+BOOST_AUTO_TEST_CASE(concurrent_changes_are_noticed)
+{
+    BOOST_TEST(firstViolation<changes_concurrently>(3000).has_value());
+}
+BOOST_AUTO_TEST_CASE(returning_as_voter_without_disk_is_noticed)
+{
+    BOOST_TEST(firstViolation<returns_after_lost_disk>(3000).has_value());
+}
 
 // Guards against hidden sources of chance, which would make a failing seed impossible to repeat.
 BOOST_AUTO_TEST_CASE(same_seed_gives_same_trace)
--- a/Tests/Consensus/test_storage.cpp
+++ b/Tests/Consensus/test_storage.cpp
@@ -14,9 +14,15 @@
 using storage = member_storage<memory_file_system>;
 constexpr member_identity identity { 5, member_id { 1 } };
 
-cluster_configuration founding() { return cluster_configuration::create({ { member_id { 1 }, member_role::Voter, {} } }).value(); }
+cluster_configuration founding()
+{
+    return cluster_configuration::create({ { member_id { 1 }, member_role::Voter, {} } }).value();
+}
 
-log_entry entry(log_index index) { return { 1 + index / 8, index, entry_kind::Application, std::string(index % 40, 'p') }; }
+log_entry entry(log_index index)
+{
+    return { 1 + index / 8, index, entry_kind::Application, std::string(index % 40, 'p') };
+}
 
 persist_request append(log_index first, log_index last)
 {
@@ -30,7 +36,8 @@
 persist_request snapshotAt(log_index index, log_continuation continuation)
 {
     persist_request request;
-    request.snapshot = std::make_shared<log_snapshot const>(log_snapshot { index, entry(index).term, founding(), "state" });
+    request.snapshot
+        = std::make_shared<log_snapshot const>(log_snapshot { index, entry(index).term, founding(), "state" });
     request.continuation = continuation;
     return request;
 }
@@ -126,7 +133,7 @@
             BOOST_CHECK(restored.vote == original.vote);
             // An earlier segment may only lack the mark at its end.
             auto const entriesMatch = path == lastSegment(files) ? isPrefix(restored.entries, original.entries)
-                                                                  : restored.entries == original.entries;
+                                                                 : restored.entries == original.entries;
             BOOST_TEST(entriesMatch, path << " length " << length);
         }
     }
