Coordination: Send the server records before the tables to a host that synchronises

Cause: a restarted host with the lowest number became the planner as soon as it had the tables. Its server directory was still empty, so it moved 2,206 of 4,096 buckets and reset flows to servers that it did not know. Change: the planner answers a table request with all its server records first; messages to a peer keep their order. Meta/churn.sh runs one change under load with real processes. Ruled out: the two-phase rollout itself; the moves of join and drain break nothing.

--- a/Libraries/Coordination/balancer_coordinator.cpp
+++ b/Libraries/Coordination/balancer_coordinator.cpp
@@ -217,6 +217,10 @@
     auto const isOfSender = [&](auto const* report) { return !report || report->reporter == sender; };
     if (!isOfSender(std::get_if<settled_report>(&message)) || !isOfSender(std::get_if<filled_report>(&message)))
         return makeError(error_kind::InvalidArgument, "report of another host than the sender");
+    // A host that synchronises may become the planner at once. With tables but without the servers that they name
+    // it would reset flows and move buckets. Messages to a peer arrive in order, so the records come first.
+    if (std::holds_alternative<table_request>(message) && m_tableCoordinator.isPlanning())
+        send(sender.host, records_message { m_directory.recordsSince(0, record_scope::All, now) });
     send(m_tableCoordinator.receive(sender, message, now));
     return absl::OkStatus();
 }
--- a/Meta/run-deployment.sh
+++ b/Meta/run-deployment.sh
@@ -56,7 +56,7 @@
     start "$service-$number" "$BUILD/bin/bilberryyard-emulator" backend --service "$service" --name "$service-$number" \
         --listen "$NETWORK.$group.$number:6080" --gateway "$GATEWAY" "${hosts[@]}" \
         --zone "${ZONES[$((number % ${#ZONES[@]}))]}" --slots "$SLOTS" \
-        --execution-log "$RUN/executions-$service-$number" "$@"
+        --execution-log "$RUN/executions-$service-$number" --drain-timeout 60000 "$@"
 }
 
 start_fabric() {
--- a/Services/Daemon/coordination_duty.cpp
+++ b/Services/Daemon/coordination_duty.cpp
@@ -134,8 +134,20 @@
         auto const name = std::string(dropReasonName(static_cast<drop_reason>(index)));
         m_metrics.setGauge("packets_dropped_" + name, static_cast<double>(counters.dropped[index].load()));
     }
-    if (m_coordinator)
-        m_metrics.setGauge("configuration_revision", static_cast<double>(m_coordinator->configurationRevision()));
+    if (!m_coordinator)
+        return;
+    m_metrics.setGauge("configuration_revision", static_cast<double>(m_coordinator->configurationRevision()));
+    auto const planner = m_coordinator->planner();
+    m_metrics.setGauge("planner_host", planner ? static_cast<double>(planner->host.value) : 0);
+    m_metrics.setGauge("synchronisation_state", static_cast<double>(m_coordinator->state()));
+    for (auto const& [service, table] : m_coordinator->tables()) {
+        auto const suffix = "_service_" + std::to_string(service.value);
+        uint32_t tracked = 0;
+        for (uint32_t index = 0; index < table->bucketCount(); ++index)
+            tracked += table->at(index).phase == bucket_phase::Tracked ? 1 : 0;
+        m_metrics.setGauge("table_version" + suffix, static_cast<double>(table->version()));
+        m_metrics.setGauge("table_tracked_buckets" + suffix, tracked);
+    }
 }
 
 } // namespace bilberryyard
