Routing: Drop witness groups that stay out of reach

Cause: flow_router cannot resolve a flow past a group without a live member, so the buckets whose witnesses had all failed or were on the other side of a partition stayed without service for their base flows until the hosts returned. Change: a group that is wholly silent for 10 s (setting silentGroupHold) is dropped.

--- a/Libraries/Routing/planner_types.h
+++ b/Libraries/Routing/planner_types.h
@@ -36,6 +36,10 @@
     /// report no use of it have been the same for this long: a witness that was removed may have answered
     /// for the base until then.
     duration flowIdleTimeout = std::chrono::seconds { 900 };
+    /// A witness group that is wholly out of reach is kept for this long, because a suspended host comes back
+    /// with its entries. Routers cannot resolve a flow past such a group, so it must not stay; the other side
+    /// of a partition keeps it in its own table, and merging brings it back.
+    duration silentGroupHold = std::chrono::seconds { 10 };
     auto operator<=>(planner_settings const&) const = default;
 };
 
--- a/Libraries/Routing/service_planner.cpp
+++ b/Libraries/Routing/service_planner.cpp
@@ -135,6 +135,7 @@
 void service_planner::plan(planner_input const& input)
 {
     m_now = input.now;
+    noteSilentHosts(input);
     if (isQuiet(input))
         return;
     readInput(input);
@@ -176,8 +177,10 @@
             break;
         builder.add(change.value, change.witnesses, change.index);
     }
-    if (count == 0)
+    bool const isMark = !m_hasPublished && m_acknowledged && builder.bytes() <= byteLimit;
+    if (count == 0 && !isMark)
         return std::nullopt;
+    m_hasPublished = true;
     auto const end = m_proposals.begin() + static_cast<std::ptrdiff_t>(count);
     std::vector<proposal> const published(m_proposals.begin(), end);
     m_proposals.erase(m_proposals.begin(), end);
@@ -214,7 +217,7 @@
     // A report must not wait for the end of a partition: a retry may add an entry meanwhile. Witnesses repeat it.
     if (!m_isFullView)
         m_settled.clear();
-    m_selector.emplace(service, m_settings, hosts, input.configuredHosts);
+    m_selector.emplace(service, m_settings, hosts, m_heldHosts);
     m_servers.clear();
     if (auto const servers = input.servers.find(service); servers != input.servers.end()) {
         for (auto const& server : servers->second)
@@ -222,6 +225,19 @@
     }
 }
 
+void service_planner::noteSilentHosts(planner_input const& input)
+{
+    m_heldHosts = input.configuredHosts;
+    for (auto const& host : input.hosts)
+        m_silentSince.erase(host.peer.host);
+    for (auto const host : input.configuredHosts) {
+        bool const isLive = std::any_of(
+            input.hosts.begin(), input.hosts.end(), [&](planner_host const& value) { return value.peer.host == host; });
+        if (!isLive && m_now - m_silentSince.try_emplace(host, m_now).first->second >= m_settings.silentGroupHold)
+            m_heldHosts.erase(host);
+    }
+}
+
 server_id service_planner::ownerOf(uint32_t index) const
 {
     auto const destination = m_memory[index].destination;
@@ -279,9 +295,11 @@
         if (isSynchronised)
             host.acknowledged.emplace(m_table.service(), 0);
     }
-    bool const isSameView = hosts == m_plannedHosts && input.configuredHosts == m_plannedConfiguration;
+    bool const isSameView = hosts == m_plannedHosts && input.configuredHosts == m_plannedConfiguration
+        && m_heldHosts == m_plannedHeldHosts;
     m_plannedHosts = std::move(hosts);
     m_plannedConfiguration = input.configuredHosts;
+    m_plannedHeldHosts = m_heldHosts;
     auto const entry = input.servers.find(m_table.service());
     if (!m_isAtRest || !isSameView || !m_settled.empty() || !m_filled.empty() || entry == input.servers.end()) {
         m_isSteady = false;
@@ -334,110 +352,6 @@
     m_memory[index].destination = server == m_table.at(index).current ? noServer : server;
 }
 
-std::optional<service_planner::proposal> service_planner::propose(
-    uint32_t index, std::vector<bool> const& repairs) const
-{
-    proposal change { change_urgency::Settle, index, m_table.at(index), witnessesOf(m_table, index) };
-    bool isChanged = false;
-    if (m_memory[index].isMerged) {
-        change.urgency = change_urgency::Urgent;
-        isChanged = true;
-    }
-    if (change.value.phase == bucket_phase::Tracked)
-        proposeWitnesses(change, isChanged, repairs);
-    proposeServer(change, isChanged);
-    if (!isChanged && maySettle(index))
-        proposeSettling(change, isChanged);
-    if (!isChanged)
-        return std::nullopt;
-    return change;
-}
-
-void service_planner::proposeWitnesses(proposal& change, bool& isChanged, std::vector<bool> const& repairs) const
-{
-    auto set = change.witnesses;
-    if (auto const filled = m_filled.find(change.index); filled != m_filled.end()) {
-        for (auto const& reporter : filled->second)
-            set = witness_selector::completed(set, reporter);
-    }
-    if (set != change.witnesses || repairs[m_table.at(change.index).witnessSet]) {
-        if (m_selector->hasLostRecordingGroup(set))
-            change.urgency = change_urgency::Urgent;
-        set = m_selector->repaired(set, change.index);
-    }
-    if (set == change.witnesses)
-        return;
-    change.witnesses = set;
-    change.urgency = std::min(change.urgency, change_urgency::Repair);
-    isChanged = true;
-}
-
-void service_planner::proposeServer(proposal& change, bool& isChanged) const
-{
-    auto const& memory = m_memory[change.index];
-    auto& value = change.value;
-    if (memory.destination == noServer || memory.isMerged)
-        return;
-    bool const isForced = !accepts(value.current);
-    if (value.phase == bucket_phase::Tracked) {
-        // Phase two: until every live host relays, some hosts would still send new flows to the old server.
-        if (!isAcknowledged(memory.trackedAt))
-            return;
-        value.current = memory.destination;
-    } else if (value.current != noServer) {
-        value.phase = bucket_phase::Tracked;
-        change.witnesses = m_selector->select(change.index);
-    } else if (m_traffic == service_traffic::Stream && m_isFullView && isAcknowledged(memory.changedAt)) {
-        value.current = value.base = memory.destination;
-    } else {
-        // Another side of a partition may assign the bucket too, so the base stays open.
-        value.current = memory.destination;
-        value.phase = bucket_phase::Tracked;
-        change.witnesses = m_selector->select(change.index);
-    }
-    change.urgency = std::min(change.urgency, isForced ? change_urgency::Urgent : change_urgency::Balance);
-    isChanged = true;
-}
-
-bool service_planner::maySettle(uint32_t index) const
-{
-    auto const& value = m_table.at(index);
-    auto const& memory = m_memory[index];
-    if (m_traffic != service_traffic::Stream || value.phase != bucket_phase::Tracked || !m_isFullView)
-        return false;
-    bool const isObserved = memory.witnessesSince && m_now - *memory.witnessesSince >= m_settings.flowIdleTimeout;
-    if (value.base != value.current && !isObserved)
-        return false;
-    if (memory.isMerged || memory.destination != noServer || !isAcknowledged(memory.changedAt))
-        return false;
-    auto const reports = m_settled.find(index);
-    if (reports == m_settled.end() || !accepts(value.current))
-        return false;
-    auto const& set = m_table.witnessesOf(value);
-    for (uint8_t group = 0; group < set.count; ++group) {
-        for (uint8_t position = 0; position < set.groups[group].count; ++position) {
-            auto const& member = set.groups[group].witnesses[position];
-            if (member.state == witness_state::Complete
-                && !reports->second.contains({ member.host, member.incarnation }))
-                return false;
-        }
-    }
-    return true;
-}
-
-void service_planner::proposeSettling(proposal& change, bool& isChanged) const
-{
-    // The base changes first, while every host still relays: a host that treats the bucket as stable sends
-    // new flows past the witnesses, and these must not resolve them to the old base.
-    if (change.value.base != change.value.current) {
-        change.value.base = change.value.current;
-    } else {
-        change.value.phase = bucket_phase::Stable;
-        change.witnesses = {};
-    }
-    isChanged = true;
-}
-
 void service_planner::apply(table_delta const& delta, std::vector<proposal> const& published)
 {
     for (auto const& change : published) {
--- a/Libraries/Routing/service_planner.h
+++ b/Libraries/Routing/service_planner.h
@@ -56,7 +56,9 @@
     /// @param input The time, hosts and servers.
     void plan(planner_input const& input);
 
-    /// Publishes what plan() decided, most urgent first, and applies it to the table.
+    /// Publishes what plan() decided, most urgent first, and applies it to the table. Once every live host
+    /// holds the table, the first delta is published even when it is empty: it marks the table in the
+    /// lineage, so that a side of a partition that needed no change is not taken for one that only lags.
     /// @param least Only changes that are at least this urgent.
     /// @param byteLimit The size at which to stop.
     /// @return The delta, or nothing when no change is due or the first does not fit.
@@ -95,6 +97,7 @@
     };
 
     void readInput(planner_input const& input);
+    void noteSilentHosts(planner_input const& input);
     server_id ownerOf(uint32_t index) const;
     bool accepts(server_id server) const;
     bool mayAssign();
@@ -136,10 +139,16 @@
     /// Lowest version that every live host has acknowledged.
     std::optional<uint64_t> m_acknowledged;
     bool m_isFullView = false;
+    std::map<host_id, monotonic_time> m_silentSince;
+    /// Configured hosts that are live or have not been silent for long.
+    std::set<host_id> m_heldHosts;
+    /// Whether this planner's lineage shows that it planned; see build().
+    bool m_hasPublished = false;
     /// What the last full plan() saw. While nothing of it changes and nothing is under way, a step costs time
     /// in proportion to servers and hosts, and not to buckets.
     std::vector<planner_host> m_plannedHosts;
     std::set<host_id> m_plannedConfiguration;
+    std::set<host_id> m_plannedHeldHosts;
     std::map<server_id, uint32_t> m_plannedCounts;
     std::map<server_id, uint32_t> m_plannedQuotas;
     std::vector<planner_server> m_plannedServers;
--- a/Libraries/Routing/table_planner.cpp
+++ b/Libraries/Routing/table_planner.cpp
@@ -42,7 +42,8 @@
     if (settings.movesPerMillePerSecond == 0 || settings.movesPerMillePerSecond > 1000)
         return makeError(error_kind::InvalidArgument, "moves per mille a second must be between 1 and 1000");
     if (settings.publishInterval < duration::zero() || settings.coldStart < duration::zero()
-        || settings.firstAssignmentDelay < duration::zero() || settings.flowIdleTimeout < duration::zero())
+        || settings.firstAssignmentDelay < duration::zero() || settings.flowIdleTimeout < duration::zero()
+        || settings.silentGroupHold < duration::zero())
         return makeError(error_kind::InvalidArgument, "planner intervals must not be negative");
     return table_planner(settings, self);
 }
--- a/Libraries/Routing/witness_selector.h
+++ b/Libraries/Routing/witness_selector.h
@@ -16,7 +16,7 @@
     /// @param service The service whose tables carry the sets.
     /// @param settings The planner's settings.
     /// @param hosts Live hosts.
-    /// @param configuredHosts Entry hosts that the configuration lists.
+    /// @param configuredHosts Entry hosts that the configuration lists, without those that count as lost.
     witness_selector(service_id service, planner_settings const& settings, std::vector<planner_host> const& hosts,
         std::set<host_id> const& configuredHosts);
 
--- a/Tests/Routing/test_table_planner_schedule.cpp
+++ b/Tests/Routing/test_table_planner_schedule.cpp
@@ -146,6 +146,50 @@
             BOOST_REQUIRE(!witness_selector::names(table.witnessesOf(table.at(index)), host_id { 3 }));
 }
 
+// Guards against flows that no host can resolve for as long as both witnesses of a bucket are away, and against
+// the loss of these witnesses when a partition heals whose other side had nothing to change.
+BOOST_AUTO_TEST_CASE(lost_group_is_dropped_after_the_hold_and_returns_with_the_partition)
+{
+    planner_harness harness(5, 1024);
+    for (uint32_t id = 1; id <= 4; ++id)
+        harness.server(id);
+    harness.run(3000);
+    harness.server(2).condition = server_condition::Closed;
+    harness.run(3000);
+    auto const before = harness.table();
+    auto const namesBoth = [](bucket_table const& table, uint32_t index) {
+        auto const& set = table.witnessesOf(table.at(index));
+        return table.at(index).phase == bucket_phase::Tracked && witness_selector::names(set, host_id { 4 })
+            && witness_selector::names(set, host_id { 5 });
+    };
+    // Buckets whose witnesses were both away and are still named.
+    auto const groupsOfLost = [&](bucket_table const& table) {
+        uint32_t result = 0;
+        for (uint32_t index = 0; index < table.bucketCount(); ++index)
+            result += namesBoth(before, index) && namesBoth(table, index);
+        return result;
+    };
+    BOOST_REQUIRE(groupsOfLost(before) > 0u);
+    // The other side consists of hosts 4 and 5; host 4 plans and changes nothing.
+    auto otherSide = table_planner::create(harness.settings, { host_id { 4 }, 1 }).value();
+    BOOST_REQUIRE(otherSide.addService(service_traffic::Stream, harness.replicas.at(4).replicated()).ok());
+    auto input = harness.input;
+    std::erase_if(input.hosts, [](planner_host const& host) { return host.peer.host.value < 4; });
+    input.self = { host_id { 4 }, 1 };
+    for (auto& host : input.hosts)
+        host.acknowledged = { { planner_harness::service, before.version() } };
+    for (int step = 0; step < 3; ++step, input.now += std::chrono::milliseconds { 100 })
+        otherSide.step(input);
+    harness.removeHost(4);
+    harness.removeHost(5);
+    harness.run(9000);
+    BOOST_TEST(groupsOfLost(harness.table()) == groupsOfLost(before));
+    harness.run(8000);
+    BOOST_TEST(groupsOfLost(harness.table()) == 0u);
+    BOOST_TEST(harness.planner->offer(*otherSide.replicated(planner_harness::service)).ok());
+    BOOST_TEST(groupsOfLost(harness.table()) == groupsOfLost(before));
+}
+
 // Guards against a table of the same lineage that is merged as if it came from a partition: this brings back
 // witnesses that were replaced.
 BOOST_AUTO_TEST_CASE(lagging_table_is_not_merged)
