Routing: Drop a SYN record that comes from an unexpected witness

Change: a witness accepts a record of a SYN only from the member before it in its own view; passing records on from a host that is no witness is replaced by a drop for the same reason. Callers retransmit when the views agree.

--- a/Libraries/Routing/flow_router.cpp
+++ b/Libraries/Routing/flow_router.cpp
@@ -197,25 +197,17 @@
 }
 
 // A record that reaches a host which is no witness, or does not know yet that it is one: views differ, or the host
-// restarted. It records nothing, but the witnesses behind it must not be left out.
+// restarted. A flow must not be established while a witness behind this host may lack it.
 forwarding_action flow_router::routeForeignRecord(request const& asked)
 {
     auto const server = asked.origin->server;
     // The witnesses know the flow already; this packet would only have renewed their entries.
     if (asked.packet.kind == packet_kind::TcpSegment)
         return deliver(asked, server);
-    if (!asked.routes.table())
-        return drop_packet { drop_reason::NoPeer };
     // In the first phase every choice equals base, with or without an entry.
-    if (asked.target().phase == bucket_phase::Stable)
-        return server == asked.target().current ? deliver(asked, server) : drop_packet { drop_reason::NoPeer };
-    auto const& groups = asked.plan().groups();
-    auto const number = asked.group();
-    if (number >= groups.size() || !groups[number].contains(asked.origin->sender))
-        return drop_packet { drop_reason::NoPeer };
-    if (auto const next = groups[number].nextAfter(asked.origin->sender, asked.origin->sender))
-        return relay(asked, *next, relay_kind::Record, number, server);
-    return deliver(asked, server);
+    auto const* table = asked.routes.table();
+    bool const firstPhase = table && asked.target().phase == bucket_phase::Stable && asked.target().current == server;
+    return firstPhase ? deliver(asked, server) : drop_packet { drop_reason::NoPeer };
 }
 
 forwarding_action flow_router::recordAsWitness(request const& asked, server_id server)
@@ -224,6 +216,10 @@
     auto const number = static_cast<uint8_t>(std::min<size_t>(asked.group(), groups.size() - 1));
     auto const& group = groups[number];
     bool const isSyn = asked.packet.kind == packet_kind::TcpSyn;
+    // The sender's order of the witnesses differs from this host's, so one of them might be left out. The caller
+    // retransmits when the views agree.
+    if (isSyn && group.memberBefore(m_view->self.host) != asked.origin->sender)
+        return drop_packet { drop_reason::NoPeer };
     auto* entry = const_cast<flow_entry*>(findLive(asked.id, asked.tick));
     // Two hosts that each take themselves for the primary must not exchange the server of a flow in progress.
     if (entry && entry->server != server && group.selfPrimary && entry->state == flow_state::Established)
--- a/Libraries/Routing/witness_plan.cpp
+++ b/Libraries/Routing/witness_plan.cpp
@@ -59,7 +59,11 @@
     return found == chain.end() ? std::nullopt : std::optional(*found);
 }
 
-bool group_plan::contains(host_id host) const { return std::find(chain.begin(), chain.end(), host) != chain.end(); }
+std::optional<host_id> group_plan::memberBefore(host_id member) const
+{
+    auto const own = std::find(chain.begin(), chain.end(), member);
+    return own == chain.begin() || own == chain.end() ? std::nullopt : std::optional(*(own - 1));
+}
 
 witness_plan::witness_plan(witness_set const& set, routing_view const& view)
 {
--- a/Libraries/Routing/witness_plan.h
+++ b/Libraries/Routing/witness_plan.h
@@ -26,9 +26,9 @@
     /// @return The live member after it, leaving out the sender.
     std::optional<host_id> nextAfter(host_id member, host_id sender) const;
 
-    /// @param host A host.
-    /// @return Whether it is a live member.
-    bool contains(host_id host) const;
+    /// @param member A live member.
+    /// @return The live member before it, from which it gets the records of new flows.
+    std::optional<host_id> memberBefore(host_id member) const;
 };
 
 /// A witness set as one host sees it. A host is a witness only under its present incarnation.
