--- a/Libraries/Routing/flow_router.cpp
+++ b/Libraries/Routing/flow_router.cpp
@@ -178,6 +178,8 @@
         return deliver(asked, found.server);
     case routing_rule::ExplicitEntry:
         ++m_counters.explicitEntry;
+        if (m_admission.conditionOf(found.server) == server_condition::Dead)
+            return deliver(asked, found.server);
         if (asked.packet.kind != packet_kind::IcmpError && noteProgress(asked, *m_flows.find(asked.id)))
             return share(asked, found.server, found.group);
         return deliver(asked, found.server);
