--- a/Utilities/Benchmarks/Mapping/scripted_planner.cpp
+++ b/Utilities/Benchmarks/Mapping/scripted_planner.cpp
@@ -149,8 +149,9 @@
         group.count = survivors;
         for (auto const& [host, incarnation] : m_hosts) {
             auto const* const last = group.witnesses.begin() + group.count;
-            bool const member
-                = std::any_of(group.witnesses.cbegin(), last, [&](auto const& w) { return w.host == host; });
+            auto const* const same = std::find_if(
+                group.witnesses.cbegin(), last, [id = host](witness const& existing) { return existing.host == id; });
+            bool const member = same != last;
             if (!member && group.count < m_witnessCount)
                 group.witnesses[group.count++] = { host, incarnation, witness_state::Filling };
         }
