--- a/Libraries/Consensus/consensus_settings.h
+++ b/Libraries/Consensus/consensus_settings.h
@@ -24,10 +24,10 @@
     /// Shorter than the minimum election timeout by the rate error of two clocks.
     duration lease = std::chrono::milliseconds(600);
     /// Entries of one append_request; a single larger entry is sent alone.
-    uint64_t maximumAppendBytes = 64 * 1024;
+    uint64_t maximumAppendBytes = uint64_t { 64 } * 1024;
     uint64_t maximumInflightAppends = 8;
-    uint64_t snapshotChunkBytes = 32 * 1024;
-    uint64_t maximumPayloadBytes = 1024 * 1024;
+    uint64_t snapshotChunkBytes = uint64_t { 32 } * 1024;
+    uint64_t maximumPayloadBytes = uint64_t { 1024 } * 1024;
     uint64_t maximumPendingProposals = 1024;
     /// Applied entries after which a snapshot is requested.
     uint64_t snapshotInterval = 4096;
--- a/Libraries/Consensus/member_storage.h
+++ b/Libraries/Consensus/member_storage.h
@@ -9,7 +9,7 @@
 namespace bilberryyard {
 
 struct member_storage_settings {
-    uint64_t segmentBytes = 4 * 1024 * 1024;
+    uint64_t segmentBytes = uint64_t { 4 } * 1024 * 1024;
     auto operator<=>(member_storage_settings const&) const = default;
 };
 
@@ -122,7 +122,9 @@
         for (auto const& name : *names) {
             if (!name.ends_with(".temporary"))
                 continue;
-            if (auto status = files.remove(folder + "/" + name); !status.ok())
+            auto path = folder;
+            path.append("/").append(name);
+            if (auto status = files.remove(path); !status.ok())
                 return status;
         }
         return absl::OkStatus();
--- a/Libraries/Consensus/snapshot_codec.cpp
+++ b/Libraries/Consensus/snapshot_codec.cpp
@@ -12,7 +12,7 @@
     constexpr std::string_view snapshotPrefix = "snapshot-";
     constexpr size_t indexDigits = 20;
     /// Bounds the damage that one checksum covers, and stays far below the 32-bit record length.
-    constexpr size_t dataRecordBytes = 1024 * 1024;
+    constexpr size_t dataRecordBytes = size_t { 1024 } * 1024;
 
 } // namespace
 
