--- a/Libraries/Configuration/configuration_codec.cpp
+++ b/Libraries/Configuration/configuration_codec.cpp
@@ -1,8 +1,6 @@
 #include <Configuration/configuration_codec.h>
 
 #include <Configuration/configuration_command.h>
-#include <Configuration/configuration_writer.h>
-#include <Configuration/document_writer.h>
 
 #include <Base/hashing.h>
 #include <Messages/configuration.pb.h>
@@ -13,7 +11,7 @@
 namespace {
 
     constexpr uint64_t commandHashSeed = 0x636f6e6669677572;
-    // Ten thousand services give about 3 MB of YAML.
+    // Ten thousand services give less than 1 MB.
     constexpr size_t maximumCommandSize = size_t { 8 } * 1024 * 1024;
 
     uint32_t errorNumber(std::optional<error_kind> error) { return error ? static_cast<uint32_t>(*error) + 1 : 0; }
@@ -38,16 +36,43 @@
         message.set_reason(command.reason);
         message.set_wall_time_nanoseconds(command.time.time_since_epoch().count());
         if (auto const* replace = std::get_if<replace_configuration_change>(&command.change)) {
-            message.set_replace_configuration(replace->yaml);
+            toMessage(replace->parts, *message.mutable_replace_configuration());
         } else if (auto const* add = std::get_if<add_exception_change>(&command.change)) {
-            message.set_add_exception(add->yaml);
+            toMessage(add->exception, *message.mutable_add_exception());
         } else if (auto const* remove = std::get_if<remove_exception_change>(&command.change)) {
-            message.mutable_remove_exception()->set_target(remove->target);
+            message.mutable_remove_exception()->set_target(remove->target.toText());
             message.mutable_remove_exception()->set_key(remove->key);
         }
         return message;
     }
 
+    absl::StatusOr<configuration_command::change_type> changeFrom(messages::ConfigurationCommand const& message)
+    {
+        switch (message.change_case()) {
+        case messages::ConfigurationCommand::kReplaceConfiguration: {
+            auto parts = fromMessage(message.replace_configuration());
+            if (!parts.ok())
+                return parts.status();
+            return replace_configuration_change { *std::move(parts) };
+        }
+        case messages::ConfigurationCommand::kAddException: {
+            auto exception = fromMessage(message.add_exception());
+            if (!exception.ok())
+                return exception.status();
+            return add_exception_change { *std::move(exception) };
+        }
+        case messages::ConfigurationCommand::kRemoveException: {
+            auto const target = exception_target::parse(message.remove_exception().target());
+            if (!target.ok())
+                return target.status();
+            return remove_exception_change { *target, message.remove_exception().key() };
+        }
+        case messages::ConfigurationCommand::CHANGE_NOT_SET:
+            break;
+        }
+        return makeError(error_kind::InvalidArgument, "the configuration command holds no change");
+    }
+
 } // namespace
 
 std::string configuration_command::encode() const { return commandMessage(*this).SerializeAsString(); }
@@ -59,21 +84,11 @@
         return makeError(error_kind::InvalidArgument, "the bytes are no configuration command");
     configuration_command command { message.request_id(), message.base_revision(), message.author(), message.reason(),
         timeFromNanoseconds(message.wall_time_nanoseconds()), {} };
-    switch (message.change_case()) {
-    case messages::ConfigurationCommand::kReplaceConfiguration:
-        command.change = replace_configuration_change { message.replace_configuration() };
-        return command;
-    case messages::ConfigurationCommand::kAddException:
-        command.change = add_exception_change { message.add_exception() };
-        return command;
-    case messages::ConfigurationCommand::kRemoveException:
-        command.change
-            = remove_exception_change { message.remove_exception().target(), message.remove_exception().key() };
-        return command;
-    case messages::ConfigurationCommand::CHANGE_NOT_SET:
-        break;
-    }
-    return makeError(error_kind::InvalidArgument, "the configuration command holds no change");
+    auto change = changeFrom(message);
+    if (!change.ok())
+        return change.status();
+    command.change = *std::move(change);
+    return command;
 }
 
 uint64_t configuration_command::contentHash() const
@@ -86,12 +101,12 @@
 
 configuration_command::change_type makeReplaceChange(configuration const& value)
 {
-    return replace_configuration_change { writeConfiguration(value) };
+    return replace_configuration_change { value.parts() };
 }
 
 configuration_command::change_type makeAddExceptionChange(configuration_exception const& value)
 {
-    return add_exception_change { writeYaml(toDocument(value)) };
+    return add_exception_change { value };
 }
 
 bool isValidRequestId(std::string_view requestId)
--- a/Libraries/Configuration/configuration_command.h
+++ b/Libraries/Configuration/configuration_command.h
@@ -13,22 +13,20 @@
 
 /// Replaces the whole configuration.
 struct replace_configuration_change {
-    /// YAML of the new configuration.
-    std::string yaml;
+    /// The new configuration, not checked yet.
+    configuration_parts parts;
     auto operator<=>(replace_configuration_change const&) const = default;
 };
 
 /// Adds one exception.
 struct add_exception_change {
-    /// YAML of one entry of `exceptions`.
-    std::string yaml;
+    configuration_exception exception;
     auto operator<=>(add_exception_change const&) const = default;
 };
 
 /// Removes one exception.
 struct remove_exception_change {
-    /// Text of an exception_target.
-    std::string target;
+    exception_target target;
     std::string key;
     auto operator<=>(remove_exception_change const&) const = default;
 };
--- a/Libraries/Configuration/configuration_snapshot.cpp
+++ b/Libraries/Configuration/configuration_snapshot.cpp
@@ -1,8 +1,6 @@
 #include <Configuration/configuration_state_machine.h>
 
 #include <Configuration/configuration_codec.h>
-#include <Configuration/configuration_reader.h>
-#include <Configuration/configuration_writer.h>
 #include <Messages/configuration.pb.h>
 #include <utility>
 
@@ -52,7 +50,7 @@
     messages::ConfigurationSnapshot message;
     message.set_format(snapshotFormat);
     message.set_revision(m_revision);
-    message.set_configuration(writeConfiguration(*m_configuration));
+    toMessage(m_configuration->parts(), *message.mutable_configuration());
     message.set_next_service_id(m_watermarks.nextServiceId);
     message.set_next_zone_id(m_watermarks.nextZoneId);
     message.set_request_horizon(m_requests.horizon());
@@ -76,7 +74,10 @@
         return damaged("the bytes are no snapshot");
     if (message.format() != snapshotFormat)
         return damaged("unknown format " + std::to_string(message.format()));
-    auto value = configuration_reader("configuration").read(message.configuration());
+    auto parts = fromMessage(message.configuration());
+    if (!parts.ok())
+        return damaged(messageOf(parts.status()));
+    auto value = configuration::create(*std::move(parts));
     if (!value.ok())
         return damaged(messageOf(value.status()));
     auto records = readRequests(message);
--- a/Libraries/OperatorInterface/operator_requests.cpp
+++ b/Libraries/OperatorInterface/operator_requests.cpp
@@ -3,9 +3,7 @@
 #include <Base/error_kind.h>
 #include <Configuration/configuration_checks.h>
 #include <Configuration/configuration_reader.h>
-#include <Configuration/configuration_writer.h>
 #include <Configuration/document_parser.h>
-#include <Configuration/document_writer.h>
 #include <Configuration/located_document.h>
 #include <Configuration/nearest_name.h>
 #include <algorithm>
@@ -104,7 +102,7 @@
             auto const names = settingNames([](setting_scope scope) { return scope != setting_scope::Fleet; });
             return place.required("key")->fault("unknown setting" + nameHint(*key, names));
         }
-        return remove_exception_change { target->toText(), *key };
+        return remove_exception_change { *target, *key };
     }
 
     absl::StatusOr<configuration_command::change_type> readChange(located_document const& root)
--- a/Tests/Configuration/configuration_samples.h
+++ b/Tests/Configuration/configuration_samples.h
@@ -47,7 +47,7 @@
     std::string const& requestId, uint64_t base, std::string const& yaml, std::string const& author = "ana")
 {
     return { requestId, base, author, "a reason", wall_time(std::chrono::seconds(1700000000)),
-        replace_configuration_change { yaml } };
+        makeReplaceChange(configuration_reader("sample").read(yaml).value()) };
 }
 
 inline std::string servicesYaml(std::string const& services) { return "services:\n" + services; }
