Emulator: Notice feeds whose server went silent; Meta: Measure control traffic in churn.sh

Cause: churn.sh kill-server reported 0 broken flows, because a feed of a dead server receives nothing and counted as answered. Change: a feed that is silent for two intervals and 1.5 s is broken; the flow log names the server of unanswered flows; churn.sh checks the control traffic of each balancer and orders that ran twice.

--- a/Meta/churn.sh
+++ b/Meta/churn.sh
@@ -14,6 +14,15 @@
 load --duration "$((${SECONDS_OF_LOAD:-16} * 1000))" --rate "${RATE:-1000}" --feeds "${FEEDS:-1000}" \
     --feed-interval 1000 >"$RUN/load.out" 2>&1 &
 LOAD=$!
+
+# Bytes of control messages that each balancer has sent, every second.
+while sleep 1; do
+    for host in $ENTRY_HOSTS; do
+        bytes=$(http_get "$NETWORK.0.$host:8080/metrics" | awk '$1 == "bilberryyard_peer_sent_bytes" { print $2 }') || true
+        [ -z "$bytes" ] || echo "$host $bytes"
+    done
+done >"$RUN/control-bytes" &
+SAMPLER=$!
 sleep 4
 
 join_server() { start_server "$LARGE" 14; }
@@ -45,6 +54,42 @@
 esac
 status=0
 wait "$LOAD" || status=$?
+kill "$SAMPLER" 2>/dev/null || true
 grep -v '^  ' "$RUN/load.out"
 awk '$2 != "answered" { print "  " $2, $3, $4 }' "$RUN/flows" | sort | uniq -c | sort -rn | head -8
+
+# Control traffic: the most that a balancer sent in any 10 s, and the target of the design.
+awk -v limit=4096 '
+    { count[$1]++; bytes[$1, count[$1]] = $2 }
+    END {
+        for (host in count) {
+            worst = 0
+            for (i = 11; i <= count[host]; i++) {
+                rate = (bytes[host, i] - bytes[host, i - 10]) / 10
+                if (rate > worst) worst = rate
+            }
+            printf "control traffic  host %s sent at most %.0f B/s over 10 s (target %d)\n", host, worst, limit
+            if (worst > limit) over = 1
+        }
+        exit over
+    }' "$RUN/control-bytes" || { echo "control traffic above its target"; status=1; }
+
+if [ "$SCENARIO" = kill-server ]; then
+    # Flows of the killed server are lost in any case; those of the others must not be.
+    broken=$(awk -v lost="$LARGE-5" '$2 == "broken" && $4 != lost' "$RUN/flows" | wc -l)
+    echo "broken flows on surviving servers $broken"
+    [ "$broken" -eq 0 ] && status=0
+fi
+# No order may run twice. Servers write the orders that they executed when they stop.
+for name in "${!PROCESS[@]}"; do
+    case $name in "$LARGE"-* | "$SMALL"-*) kill -TERM "${PROCESS[$name]}" 2>/dev/null || true ;; esac
+done
+for name in "${!PROCESS[@]}"; do
+    case $name in "$LARGE"-* | "$SMALL"-*) wait "${PROCESS[$name]}" || true ;; esac
+done
+executed=$(cat "$RUN"/executions-* | wc -l)
+doubled=$(cat "$RUN"/executions-* | sort | uniq -d | wc -l)
+echo "orders executed $executed, of these twice $doubled"
+[ "$executed" -gt 0 ] || status=1
+[ "$doubled" -eq 0 ] || status=1
 exit $status
--- a/Services/Daemon/coordination_duty.cpp
+++ b/Services/Daemon/coordination_duty.cpp
@@ -1,6 +1,8 @@
 #include "coordination_duty.h"
 
 #include <Base/error_kind.h>
+#include <array>
+#include <string_view>
 
 namespace bilberryyard {
 
@@ -9,6 +11,21 @@
     constexpr std::chrono::milliseconds receiveWait { 10 };
     constexpr std::chrono::milliseconds statusInterval { 100 };
 
+    std::string_view kindOf(table_message const& message)
+    {
+        constexpr std::array<std::string_view, std::variant_size_v<table_message>> names { "table_delta",
+            "table_request", "table_snapshot", "table_offer", "settled_report", "filled_report" };
+        return names[message.index()];
+    }
+
+    std::string_view kindOf(coordination_message const& message)
+    {
+        constexpr std::array<std::string_view, std::variant_size_v<coordination_message::body_type>> names {
+            "heartbeat", "records", "evidence", "table", "fill_request", "fill_answer", "leave_permission" };
+        auto const* table = std::get_if<table_message>(&message.body);
+        return table ? kindOf(*table) : names[message.body.index()];
+    }
+
 } // namespace
 
 coordination_duty::coordination_duty(coordinator_settings const& settings, uint32_t deployment, message_socket socket,
@@ -87,8 +104,11 @@
 void coordination_duty::sendOutput()
 {
     for (auto const& message : m_coordinator->takeMessages()) {
-        if (!m_socket.send(message.receiver, m_codec.encode(message.message)))
+        auto const bytes = m_codec.encode(message.message);
+        if (!m_socket.send(message.receiver, bytes))
             m_metrics.counter("peer_messages_unsent_total").add();
+        else
+            m_metrics.counter("peer_sent_" + std::string(kindOf(message.message)) + "_bytes_total").add(bytes.size());
     }
     for (auto const& command : m_coordinator->takeCommands())
         m_packets.commands().push(command);
--- a/Utilities/Emulator/backend_process.cpp
+++ b/Utilities/Emulator/backend_process.cpp
@@ -112,7 +112,11 @@
     }
     ++m_accepted;
     auto const number = m_nextNumber++;
-    auto endpoint = tcp_connection::accept(received.segment, static_cast<uint32_t>(m_random()), now, m_segments);
+    // The last byte of the address leads the initial sequence number, so that a caller can tell which server took a
+    // connection that it never answered.
+    auto const initialSequence
+        = static_cast<uint32_t>(m_settings.listen.address.bytes.back()) << 24 | (m_random() & 0xffffff);
+    auto endpoint = tcp_connection::accept(received.segment, static_cast<uint32_t>(initialSequence), now, m_segments);
     auto& value = m_connections.emplace(number, connection { received.key, std::move(endpoint) }).first->second;
     m_numbers.emplace(received.key, number);
     transmit(number, value);
--- a/Utilities/Emulator/emulated_caller.cpp
+++ b/Utilities/Emulator/emulated_caller.cpp
@@ -2,6 +2,13 @@
 
 namespace bilberryyard {
 
+namespace {
+
+    // Longer than two retransmission timeouts of a lost update.
+    constexpr std::chrono::milliseconds silenceTolerance { 1'500 };
+
+} // namespace
+
 emulated_caller::emulated_caller(flow_key const& key, std::string const* service, emulated_request const& request,
     uint32_t initialSequence, monotonic_time now, std::vector<tcp_segment>& output)
     : m_key(key)
@@ -31,9 +38,10 @@
 {
     if (m_outcome != caller_outcome::Pending)
         return;
-    conclude(m_headerRead ? caller_outcome::Answered
-                          : (m_established ? caller_outcome::Broken : caller_outcome::NotEstablished));
-    m_answered = now;
+    // A server that died sends nothing at all, so silence at the end means that the feed is broken.
+    bool const isAlive = m_headerRead && now - m_answered <= 2 * m_request.interval + silenceTolerance;
+    conclude(
+        isAlive ? caller_outcome::Answered : (m_established ? caller_outcome::Broken : caller_outcome::NotEstablished));
     m_connection.abort(output);
 }
 
@@ -52,7 +60,7 @@
             return conclude(caller_outcome::WrongAnswer);
     }
     if (m_request.kind == request_kind::Feed)
-        return readUpdates();
+        return readUpdates(now);
     if (m_outcome != caller_outcome::Pending || buffer.size() < m_request.size)
         return;
     conclude(
@@ -62,13 +70,14 @@
     m_connection.close(now, output);
 }
 
-void emulated_caller::readUpdates()
+void emulated_caller::readUpdates(monotonic_time now)
 {
     auto& buffer = m_connection.received();
     while (buffer.size() >= feedUpdateSize) {
         if (buffer.compare(0, feedUpdateSize, feedUpdate(m_request.id, m_updates)) != 0)
             return conclude(caller_outcome::WrongAnswer);
         ++m_updates;
+        m_answered = now;
         buffer.erase(0, feedUpdateSize);
     }
 }
--- a/Utilities/Emulator/emulated_caller.h
+++ b/Utilities/Emulator/emulated_caller.h
@@ -54,14 +54,16 @@
     bool hasEnded() const { return m_connection.hasEnded(); }
     monotonic_time deadline() const { return m_connection.deadline(); }
     monotonic_time started() const { return m_started; }
+    /// @return When the answer was complete; for a feed, when the last update arrived.
     monotonic_time answered() const { return m_answered; }
     uint64_t feedUpdates() const { return m_updates; }
     uint32_t retransmissions() const { return m_connection.retransmissions(); }
+    uint32_t peerInitialSequence() const { return m_connection.peerInitialSequence(); }
     bool established() const { return m_established; }
 
 private:
     void readAnswer(monotonic_time now, std::vector<tcp_segment>& output);
-    void readUpdates();
+    void readUpdates(monotonic_time now);
     void noteConnectionState();
     void conclude(caller_outcome outcome);
 
--- a/Utilities/Emulator/load_process.cpp
+++ b/Utilities/Emulator/load_process.cpp
@@ -21,6 +21,16 @@
     constexpr std::array<std::string_view, 7> outcomeNames { "open", "answered", "refused", "not_established", "broken",
         "wrong_answer", "wrong_service" };
 
+    std::string serverOf(emulated_caller const& caller)
+    {
+        if (!caller.server().empty())
+            return caller.server();
+        if (!caller.established())
+            return "-";
+        // See backend_process: the number of the server that took the connection.
+        return caller.service() + "-" + std::to_string(caller.peerInitialSequence() >> 24);
+    }
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<load_process>> load_process::create(load_settings const& settings)
@@ -193,8 +203,8 @@
         return;
     auto const at = std::chrono::duration_cast<std::chrono::milliseconds>(caller.started() - m_start).count();
     m_flowLog += std::to_string(at) + " " + std::string(outcomeNames[static_cast<size_t>(caller.outcome())]) + " "
-        + caller.service() + " " + (caller.server().empty() ? "-" : caller.server()) + " "
-        + std::to_string(caller.request().id) + " " + caller.key().toText() + "\n";
+        + caller.service() + " " + serverOf(caller) + " " + std::to_string(caller.request().id) + " "
+        + caller.key().toText() + "\n";
 }
 
 } // namespace bilberryyard
--- a/Utilities/Emulator/tcp_connection.cpp
+++ b/Utilities/Emulator/tcp_connection.cpp
@@ -79,6 +79,7 @@
         if (!isSyn || !(segment.flags & tcp_flags::ack) || segment.acknowledgement != m_next)
             return false;
         m_receiveNext = segment.sequence + 1;
+        m_peerInitialSequence = segment.sequence;
         m_state = tcp_state::Established;
         acknowledgeUpTo(segment.acknowledgement, now);
         if (m_buffer.empty())
--- a/Utilities/Emulator/tcp_connection.h
+++ b/Utilities/Emulator/tcp_connection.h
@@ -65,6 +65,8 @@
     monotonic_time deadline() const { return m_deadline; }
     /// @return Payload received in order that was not taken yet.
     std::string& received() { return m_received; }
+    /// @return The other side's initial sequence number; 0 before its SYN arrived.
+    uint32_t peerInitialSequence() const { return m_peerInitialSequence; }
     uint32_t retransmissions() const { return m_retransmissions; }
 
 private:
@@ -80,6 +82,7 @@
     uint32_t m_unacknowledged = 0;
     uint32_t m_next = 0;
     uint32_t m_receiveNext = 0;
+    uint32_t m_peerInitialSequence = 0;
     uint32_t m_bufferStart = 0;
     uint32_t m_retransmissions = 0;
     uint16_t m_attempts = 0;
