--- a/Libraries/Routing/flow_router.cpp
+++ b/Libraries/Routing/flow_router.cpp
@@ -120,8 +120,8 @@
     auto const& groups = routes.planOf(target).groups();
     if (decidesAlone(now)) {
         auto const* entry = findLive(id, tick);
-        return entry ? resolution { routing_rule::ExplicitEntry, entry->server, {}, 0 }
-                     : resolution { routing_rule::Base, target.base, {}, 0 };
+        return entry ? resolution { routing_rule::ExplicitEntry, entry->server, {}, 0, entry }
+                     : resolution { routing_rule::Base, target.base, {}, 0, nullptr };
     }
     if (groups.empty())
         return {};
@@ -137,17 +137,17 @@
                 && !group.selfPrimary && sender != group.primary
                 && elapsed(entry->lastSeen, tick) < m_settings.handshakeRelay;
             if (leaveToPrimary)
-                return { routing_rule::Relayed, noServer, *group.primary, number };
-            return { routing_rule::ExplicitEntry, entry->server, {}, number };
+                return { routing_rule::Relayed, noServer, *group.primary, number, nullptr };
+            return { routing_rule::ExplicitEntry, entry->server, {}, number, entry };
         }
         if (group.selfComplete)
             continue;
         // A filling witness without an entry knows nothing of the flow.
         if (group.selfPrimary)
             return {};
-        return { routing_rule::Relayed, noServer, *group.primary, number };
+        return { routing_rule::Relayed, noServer, *group.primary, number, nullptr };
     }
-    return { routing_rule::Base, target.base, {}, 0 };
+    return { routing_rule::Base, target.base, {}, 0, nullptr };
 }
 
 forwarding_action flow_router::routeStable(request const& asked)
@@ -180,7 +180,7 @@
         ++m_counters.explicitEntry;
         if (m_admission.conditionOf(found.server) == server_condition::Dead)
             return deliver(asked, found.server);
-        if (asked.packet.kind != packet_kind::IcmpError && noteProgress(asked, *m_flows.find(asked.id)))
+        if (asked.packet.kind != packet_kind::IcmpError && noteProgress(asked, const_cast<flow_entry&>(*found.entry)))
             return share(asked, found.server, found.group);
         return deliver(asked, found.server);
     default:
