Routing: Compare endpoints as integers and find the service by position

Cause: endpoint_index::find and memcmp took 10% of the samples of benchmark_decisions, and a hash map of services was searched for each packet.

--- a/Libraries/Routing/endpoint_index.h
+++ b/Libraries/Routing/endpoint_index.h
@@ -2,6 +2,8 @@
 
 #include <Routing/routing_view.h>
 #include <cstddef>
+#include <cstdint>
+#include <cstring>
 #include <optional>
 #include <vector>
 
@@ -13,16 +15,62 @@
     /// @param endpoints All endpoints; of two that are equal but for the service, the first counts.
     void setEndpoints(std::vector<service_endpoint> const& endpoints);
 
+    /// @param key A flow towards a service.
+    /// @return Position of its endpoint in the list of endpoints, or nothing.
+    std::optional<size_t> findPosition(flow_key const& key) const
+    {
+        auto const wanted = slotFor(key.destination, key.destinationPort, key.protocol);
+        for (auto index = wanted.firstIndex(m_slots.size()); m_slots[index].position != freeSlot;
+             index = (index + 1) & (m_slots.size() - 1)) {
+            if (m_slots[index].matches(wanted))
+                return m_slots[index].position;
+        }
+        return std::nullopt;
+    }
+
     /// @param key A flow towards a service.
     /// @return The service, or nothing.
-    std::optional<service_id> find(flow_key const& key) const;
+    std::optional<service_id> find(flow_key const& key) const
+    {
+        auto const position = findPosition(key);
+        return position ? std::optional(m_endpoints[*position].service) : std::nullopt;
+    }
 
 private:
-    static size_t hashOf(ip_address const& address, uint16_t port);
+    static constexpr uint32_t freeSlot = UINT32_MAX;
+
+    /// An endpoint in the form that is compared fastest, on the path of every packet.
+    struct slot {
+        uint64_t addressHigh = 0;
+        uint64_t addressLow = 0;
+        uint32_t portAndProtocol = 0;
+        uint32_t position = freeSlot;
+
+        bool matches(slot const& other) const
+        {
+            return addressLow == other.addressLow && addressHigh == other.addressHigh
+                && portAndProtocol == other.portAndProtocol;
+        }
+        size_t firstIndex(size_t slotCount) const
+        {
+            auto const mixed
+                = (addressHigh * 0x9E3779B97F4A7C15ULL) ^ ((addressLow + portAndProtocol) * 0xC2B2AE3D27D4EB4FULL);
+            return static_cast<size_t>(mixed ^ mixed >> 32) & (slotCount - 1);
+        }
+    };
+
+    static slot slotFor(ip_address const& address, uint16_t port, ip_protocol protocol)
+    {
+        slot result;
+        std::memcpy(&result.addressHigh, address.bytes.data(), sizeof(result.addressHigh));
+        std::memcpy(&result.addressLow, address.bytes.data() + sizeof(result.addressHigh), sizeof(result.addressLow));
+        result.portAndProtocol = uint32_t { port } << 8 | static_cast<uint32_t>(protocol);
+        return result;
+    }
 
     std::vector<service_endpoint> m_endpoints;
-    /// Positions in m_endpoints plus one, 0 for a free slot; open addressing, at most half full.
-    std::vector<uint32_t> m_slots = std::vector<uint32_t>(2);
+    /// Open addressing with a power-of-two size, at most half full.
+    std::vector<slot> m_slots = std::vector<slot>(2);
 };
 
 } // namespace bilberryyard
--- a/Libraries/Routing/flow_router.cpp
+++ b/Libraries/Routing/flow_router.cpp
@@ -20,13 +20,13 @@
         return drop_packet { drop_reason::TooManyRelays };
     if (origin && std::chrono::milliseconds(origin->ageMilliseconds) > m_settings.maximumRelayAge)
         return drop_packet { drop_reason::RelayTooOld };
-    auto const service = m_endpoints.find(packet.key);
-    if (!service)
+    auto const endpoint = m_endpoints.findPosition(packet.key);
+    if (!endpoint)
         return drop_packet { drop_reason::NoService };
+    auto& routes = *m_endpointRoutes[*endpoint];
     // Hosts with different configurations must not hand packets to each other's services (P2).
-    if (origin && origin->service != *service)
+    if (origin && origin->service != routes.service())
         return drop_packet { drop_reason::BadRelayHeader };
-    auto& routes = m_routes.at(*service);
     request asked { packet, origin, now, tickOf(now), { hashFlow(packet.key, m_view->hashSeed), routes.shortService() },
         routes };
     bool const isRecord = origin && origin->kind == relay_kind::Record;
@@ -51,8 +51,9 @@
     m_admission.setServers(view->servers, view->peers.size() + 1);
     m_timeouts.established = view->flowIdleTimeout;
     m_timeouts.datagram = view->datagramIdleTimeout;
+    m_endpointRoutes.clear();
     for (auto const& endpoint : view->endpoints)
-        m_routes.try_emplace(endpoint.service, endpoint.service);
+        m_endpointRoutes.push_back(&m_routes.try_emplace(endpoint.service, endpoint.service).first->second);
     for (auto& [service, routes] : m_routes) {
         auto const fresh = routes.setView(*view);
         for (auto const index : fresh)
--- a/Libraries/Routing/flow_router.h
+++ b/Libraries/Routing/flow_router.h
@@ -19,6 +19,12 @@
 public:
     /// @param settings Times and bounds.
     explicit flow_router(flow_router_settings const& settings = {});
+    flow_router(flow_router&&) = default;
+    flow_router& operator=(flow_router&&) = default;
+    // m_endpointRoutes points into m_routes.
+    flow_router(flow_router const&) = delete;
+    flow_router& operator=(flow_router const&) = delete;
+    ~flow_router() = default;
 
     /// Decides about one packet.
     /// @param packet The parsed packet.
@@ -137,7 +143,10 @@
     std::shared_ptr<routing_view const> m_view = std::make_shared<routing_view const>();
     endpoint_index m_endpoints;
     admission_control m_admission;
+    /// References to elements of this map stay valid when others are added.
     std::unordered_map<service_id, service_routes> m_routes;
+    /// By position in the view's endpoints.
+    std::vector<service_routes*> m_endpointRoutes;
     flow_table m_flows;
     monotonic_time m_now = monotonic_time::min();
     monotonic_time m_resumed = monotonic_time::min();
