Routing: Refuse servers of another service

Cause: a corrupt relay or transfer could name a server of another service, and nothing in the router would notice (P2). Change: routed_server may carry the service that it registered for; deliver() and records check it. Tests of the lookup through witness groups after a merge.

--- a/Libraries/Routing/admission_control.h
+++ b/Libraries/Routing/admission_control.h
@@ -24,6 +24,16 @@
         return found ? std::optional(found->server.condition) : std::nullopt;
     }
 
+    /// @param server A server.
+    /// @param service The service of a packet for it.
+    /// @return Its condition, or nothing when this host has not heard of it or it belongs to another service.
+    std::optional<server_condition> conditionOf(server_id server, service_id service) const
+    {
+        auto const* found = find(server);
+        bool const foreign = found && found->server.service && *found->server.service != service;
+        return found && !foreign ? std::optional(found->server.condition) : std::nullopt;
+    }
+
     /// The reported open flows plus the flows assigned here since that report times the number of live hosts.
     /// @param server A server.
     /// @return The estimate; 0 for an unknown server.
--- a/Libraries/Routing/flow_router.cpp
+++ b/Libraries/Routing/flow_router.cpp
@@ -192,7 +192,7 @@
 forwarding_action flow_router::routeRecord(request const& asked)
 {
     auto const server = asked.origin->server;
-    if (!m_admission.conditionOf(server))
+    if (!m_admission.conditionOf(server, asked.routes.service()))
         return drop_packet { drop_reason::NoServer };
     if (!asked.routes.holds(asked.target()))
         return routeForeignRecord(asked);
@@ -268,7 +268,7 @@
 
 forwarding_action flow_router::deliver(request const& asked, server_id server)
 {
-    auto const condition = m_admission.conditionOf(server);
+    auto const condition = m_admission.conditionOf(server, asked.routes.service());
     // A server that this host has not heard of is no proof that the flow is lost.
     if (!condition && server != noServer)
         return drop_packet { drop_reason::NoServer };
--- a/Libraries/Routing/routing_view.h
+++ b/Libraries/Routing/routing_view.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace bilberryyard {
@@ -33,6 +34,8 @@
     uint32_t reportedConnections = 0;
     /// Increases by one with each report, so that a router can tell a new report from an old one.
     uint32_t reportSequence = 0;
+    /// The service it registered for. When known, no packet of another service is sent to it (P2).
+    std::optional<service_id> service = std::nullopt;
     auto operator<=>(routed_server const&) const = default;
 };
 
--- a/Tests/Routing/test_flow_router.cpp
+++ b/Tests/Routing/test_flow_router.cpp
@@ -130,6 +130,54 @@
     BOOST_TEST(describe(wrong) == describeDrop(drop_reason::BadRelayHeader));
 }
 
+// Guards against a relay, a transfer or a table that names a server of another service (P2).
+BOOST_AUTO_TEST_CASE(server_of_another_service_gets_nothing)
+{
+    router_fixture fixture(2);
+    fixture.view.servers[server(9)].service = datagramService;
+    fixture.view.tables[tcpService] = makeTable(tcpService, server(9), server(9), bucket_phase::Stable);
+    fixture.publish();
+    BOOST_TEST(fixture.recorded(makeSyn(1), 1, 9) == describeDrop(drop_reason::NoServer));
+    BOOST_TEST(fixture.send(makeSyn(2)) == describeDrop(drop_reason::NoServer));
+    BOOST_TEST(fixture.send(makeSegment(2)) == describeDrop(drop_reason::NoServer));
+    fixture.view.servers[server(9)].service = tcpService;
+    fixture.publish();
+    BOOST_TEST(fixture.send(makeSegment(2)) == "server 9");
+}
+
+/// Learns of a second witness group at a known time.
+void merge(router_fixture& fixture, std::chrono::milliseconds time)
+{
+    fixture.send(makeIcmpError(1), time - 1ms);
+    auto const merged = makeSet({ makeGroup({ 1, 2 }), makeGroup({ 3 }) });
+    fixture.view.tables[tcpService] = trackedBy(merged);
+    fixture.view.tables[datagramService]
+        = makeTable(datagramService, noServer, server(8), bucket_phase::Tracked, merged, 9);
+    fixture.publish();
+    fixture.send(makeIcmpError(1), time);
+}
+
+// Guards against a flow of the other side of a healed partition that is taken for a new one.
+BOOST_AUTO_TEST_CASE(primary_asks_the_other_group_after_a_merge)
+{
+    router_fixture fixture(1);
+    merge(fixture, 10s);
+    relay_header allAsked;
+    allAsked.group = 2;
+    BOOST_TEST(fixture.send(makeSyn(1), 10s) == "host 3 group 1");
+    BOOST_TEST(fixture.relayed(makeSyn(1), 3, 10s, allAsked) == "host 2 record 2");
+    BOOST_TEST(fixture.send(makeSyn(2), 12s) == "host 2 record 2");
+    BOOST_TEST(fixture.send(makeDatagram(1), 12s) == "host 3 group 1");
+    BOOST_TEST(fixture.relayed(makeDatagram(1), 3, 12s, allAsked) == "host 2 record 8");
+    router_fixture other(3, trackedBy(makeSet({ makeGroup({ 3 }) })));
+    other.send(makeSyn(1), 9s);
+    merge(other, 10s);
+    relay_header asked;
+    asked.group = 1;
+    BOOST_TEST(other.relayed(makeSyn(1), 1, 10s, asked) == "server 2");
+    BOOST_TEST(other.relayed(makeSyn(2), 1, 10s, asked) == "host 1 group 2");
+}
+
 // Guards against a second choice for a flow: the entry outlives changes of current, at both witnesses.
 BOOST_AUTO_TEST_CASE(entry_outlives_changes)
 {
