--- a/Tests/Routing/fake_network.h
+++ b/Tests/Routing/fake_network.h
@@ -56,6 +56,8 @@
         bool skipTransfer = false;
         /// A restarted host claims the roles that it had before.
         bool sameIncarnation = false;
+        /// One relay in 50 is lost and one in four takes up to 300 ms.
+        bool lossyRelays = false;
         uint8_t witnesses = 2;
         std::function<Router()> makeRouter = [] { return Router(); };
     };
@@ -396,9 +398,11 @@
             return deliver(number, packet, *forward);
         if (auto const* relay = std::get_if<relay_to_host>(&action)) {
             ++m_relays;
+            if (m_options.lossyRelays && m_random() % 50 == 0)
+                return;
             auto const next = relay->host.value;
             auto const header = relay->header;
-            return schedule(m_now + 100us + random(5ms),
+            return schedule(m_now + 100us + random(m_options.lossyRelays && m_random() % 4 == 0 ? 300ms : 5ms),
                 [this, next, number, packet, header] { arrive(next, number, packet, header); });
         }
         if (std::holds_alternative<reject_packet>(action))
