Coordination: Renew leases with short records; bound the planner's share of control traffic

Cause: by kind of message, the planner's host sent 2.6 KB/s of full server records (all 18 servers announced to it, 50 to 70 bytes each to 4 peers), leave permissions at every step, and tables at 2 KB/s. Change: an announcement that only renews the lease and the load is passed on as a renewal of about 14 bytes, with the full record every 10 s; leave permissions at the heartbeat interval; tables get two fifths of the control budget; emulated servers spread their announcements.

--- a/Libraries/Coordination/balancer_coordinator.cpp
+++ b/Libraries/Coordination/balancer_coordinator.cpp
@@ -5,6 +5,13 @@
 
 namespace bilberryyard {
 
+namespace {
+
+    // Bounds how long a peer that missed a full record goes without it.
+    constexpr std::chrono::seconds fullRecordInterval { 10 };
+
+} // namespace
+
 absl::StatusOr<balancer_coordinator> balancer_coordinator::create(
     coordinator_settings const& settings, monotonic_time now)
 {
@@ -169,8 +176,27 @@
     m_sentRecordCounter = m_directory.changeCounter();
     if (records.empty())
         return;
+    records_message message;
+    for (auto const& record : records) {
+        if (isRenewal(record, now))
+            message.renewals.push_back({ record.id, record.stamp.sequence, record.announcement.load });
+        else
+            message.records.push_back(record);
+    }
     for (auto const& peer : m_peers->livePeers())
-        send(peer.host, records_message { records });
+        send(peer.host, message);
+}
+
+bool balancer_coordinator::isRenewal(server_record const& record, monotonic_time now)
+{
+    auto announcement = record.announcement;
+    announcement.load = {};
+    auto const sent = m_sentRecords.find(record.id);
+    if (sent != m_sentRecords.end() && sent->second.announcement == announcement
+        && now - sent->second.at < fullRecordInterval)
+        return true;
+    m_sentRecords[record.id] = { announcement, now };
+    return false;
 }
 
 void balancer_coordinator::greetNewPeers(monotonic_time now)
@@ -181,7 +207,7 @@
             continue;
         auto records = m_directory.recordsSince(0, record_scope::All, now);
         if (!records.empty())
-            send(peer.host, records_message { std::move(records) });
+            send(peer.host, records_message { std::move(records), {} });
     }
     m_greeted = { live.begin(), live.end() };
 }
@@ -197,12 +223,23 @@
     return absl::OkStatus();
 }
 
-absl::Status balancer_coordinator::handle(routed_peer, records_message const& message, monotonic_time now)
+absl::Status balancer_coordinator::handle(routed_peer sender, records_message const& message, monotonic_time now)
 {
     for (auto const& record : message.records) {
         if (auto const status = m_directory.merge(record, now); !status.ok())
             return status;
     }
+    for (auto const& renewal : message.renewals) {
+        // The full record follows soon when this host does not have it yet.
+        auto const* entry = m_directory.find(renewal.server);
+        if (!entry)
+            continue;
+        server_record record { entry->id, entry->announcement,
+            { entry->stamp.incarnation, renewal.sequence, sender.host }, duration::zero() };
+        record.announcement.load = renewal.load;
+        if (auto const status = m_directory.merge(record, now); !status.ok())
+            return status;
+    }
     return absl::OkStatus();
 }
 
@@ -220,7 +257,7 @@
     // A host that synchronises may become the planner at once. With tables but without the servers that they name
     // it would reset flows and move buckets. Messages to a peer arrive in order, so the records come first.
     if (std::holds_alternative<table_request>(message) && m_tableCoordinator.isPlanning())
-        send(sender.host, records_message { m_directory.recordsSince(0, record_scope::All, now) });
+        send(sender.host, records_message { m_directory.recordsSince(0, record_scope::All, now), {} });
     send(m_tableCoordinator.receive(sender, message, now));
     return absl::OkStatus();
 }
@@ -271,13 +308,21 @@
 void balancer_coordinator::runTables(monotonic_time now)
 {
     send(m_tableCoordinator.step(plannerServers(now), m_intent, now));
+    permitLeaving(now);
+    refreshTables();
+}
+
+void balancer_coordinator::permitLeaving(monotonic_time now)
+{
+    if (m_permittedAt && now - *m_permittedAt < m_settings.heartbeatInterval)
+        return;
+    m_permittedAt = now;
     for (auto const host : m_tableCoordinator.mayLeave()) {
         if (host == m_settings.self.host)
             m_mayLeave = true;
         else
             send(host, leave_permission {});
     }
-    refreshTables();
 }
 
 void balancer_coordinator::refreshTables()
--- a/Libraries/Coordination/balancer_coordinator.h
+++ b/Libraries/Coordination/balancer_coordinator.h
@@ -100,6 +100,8 @@
     void sendHeartbeatTo(host_id receiver);
     void acknowledgeTables();
     void sendRecords(monotonic_time now);
+    bool isRenewal(server_record const& record, monotonic_time now);
+    void permitLeaving(monotonic_time now);
     void greetNewPeers(monotonic_time now);
 
     absl::Status handle(routed_peer sender, heartbeat_message const& message, monotonic_time now);
@@ -147,7 +149,14 @@
     std::optional<monotonic_time> m_heartbeatAt;
     std::optional<monotonic_time> m_recordsAt;
     std::optional<monotonic_time> m_judgedAt;
+    std::optional<monotonic_time> m_permittedAt;
     uint64_t m_sentRecordCounter = 0;
+    struct sent_record {
+        server_announcement announcement;
+        monotonic_time at;
+    };
+    /// Records that were sent in full, without their load.
+    std::map<server_id, sent_record> m_sentRecords;
 
     std::vector<outgoing_message> m_messages;
     std::vector<flow_command> m_commands;
--- a/Libraries/Coordination/coordination_message.h
+++ b/Libraries/Coordination/coordination_message.h
@@ -20,9 +20,19 @@
     auto operator<=>(heartbeat_message const&) const = default;
 };
 
+/// A renewed lease and a new load report of a server whose record the receiver has. A quarter of the size of
+/// a record, because most announcements change nothing else.
+struct record_renewal {
+    server_id server;
+    uint32_t sequence = 0;
+    load_report load;
+    auto operator<=>(record_renewal const&) const = default;
+};
+
 /// Changed server records of the sender's directory.
 struct records_message {
     std::vector<server_record> records;
+    std::vector<record_renewal> renewals;
     auto operator<=>(records_message const&) const = default;
 };
 
--- a/Libraries/CoordinationCodec/membership_codec.cpp
+++ b/Libraries/CoordinationCodec/membership_codec.cpp
@@ -121,6 +121,14 @@
     messages::Records message;
     for (auto const& record : value.records)
         encodeRecord(record, *message.add_records());
+    for (auto const& renewal : value.renewals) {
+        auto* item = message.add_renewals();
+        item->set_server(renewal.server.value);
+        item->set_sequence(renewal.sequence);
+        item->set_busy_slots(renewal.load.busySlots);
+        item->set_queue(renewal.load.queue);
+        item->set_open_connections(renewal.load.openConnections);
+    }
     return message;
 }
 
@@ -133,6 +141,9 @@
             return record.status();
         result.records.push_back(*std::move(record));
     }
+    for (auto const& item : message.renewals())
+        result.renewals.push_back({ server_id { item.server() }, item.sequence(),
+            { item.busy_slots(), item.queue(), item.open_connections() } });
     return body_type { std::move(result) };
 }
 
--- a/Services/Daemon/coordinated_configuration_builder.cpp
+++ b/Services/Daemon/coordinated_configuration_builder.cpp
@@ -54,7 +54,7 @@
     result.flowIdleTimeout = inMilliseconds(defaults.flowIdleTimeout);
     result.datagramIdleTimeout = inMilliseconds(defaults.datagramIdleTimeout);
     result.planner.witnessCount = static_cast<uint8_t>(defaults.witnessCount);
-    result.planner.bytesPerSecond = defaults.controlBytesPerSecond / 2;
+    result.planner.bytesPerSecond = defaults.controlBytesPerSecond * 2 / 5;
     result.planner.coldStart = std::chrono::seconds(defaults.coldStartSeconds);
     result.health.window = defaults.ejectionWindow;
     result.health.minimumHandshakes = defaults.ejectionMinimumHandshakes;
--- a/Utilities/Emulator/announcer.cpp
+++ b/Utilities/Emulator/announcer.cpp
@@ -26,7 +26,7 @@
 announcer::announcer(std::vector<ip_endpoint> entryHosts, announced_server const& initial)
     : m_client(announceTimeout)
     , m_entryHosts(std::move(entryHosts))
-    , m_preferred(initial.endpoint.port % m_entryHosts.size())
+    , m_preferred(initial.endpoint.address.bytes.back() % m_entryHosts.size())
     , m_value(initial)
     , m_thread(std::make_unique<duty_thread>("announcer", [this](std::stop_token const& token) { run(token); }))
 {
