OperatorInterface: Bound waiting changes, connection time and audit bytes

Without a majority every proposal waits for its deadline; enough of them would occupy all HTTP threads and fail the health checks. At most 16 of 32 threads wait now. CivetWeb waits up to 10 s for a connection, which a host behind a partition would use up; a connection with the caller's time limit comes first. Large changes could grow the audit trail to hundreds of megabytes; its texts are limited to 32 MiB and the lines of one result to 50 of 200 bytes.

The test host keeps its handler locked while it answers: the thread sanitizer reported handlers that could outlive their test.

--- a/Libraries/Configuration/configuration_snapshot.cpp
+++ b/Libraries/Configuration/configuration_snapshot.cpp
@@ -91,8 +91,7 @@
     m_revision = message.revision();
     m_configuration = std::make_shared<configuration const>(*std::move(value));
     m_watermarks = { message.next_service_id(), message.next_zone_id() };
-    m_nextAuditSequence = message.next_audit_sequence();
-    m_audit = *std::move(audit);
+    replaceAudit(*std::move(audit), message.next_audit_sequence());
     return absl::OkStatus();
 }
 
--- a/Libraries/Configuration/configuration_state_machine.cpp
+++ b/Libraries/Configuration/configuration_state_machine.cpp
@@ -4,6 +4,7 @@
 #include <Configuration/configuration_difference.h>
 #include <Configuration/document_parser.h>
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace bilberryyard {
@@ -11,8 +12,8 @@
 namespace {
 
     // Results are kept for every request id and audit entry, so their size is bounded.
-    constexpr size_t maximumLines = 100;
-    constexpr size_t maximumLineLength = 300;
+    constexpr size_t maximumLines = 50;
+    constexpr size_t maximumLineLength = 200;
     constexpr size_t maximumMessageLength = 1000;
     constexpr size_t maximumAuditedText = 500;
 
@@ -44,6 +45,13 @@
         return lines;
     }
 
+    size_t textSize(audit_entry const& entry)
+    {
+        auto const addLine = [](size_t sum, std::string const& line) { return sum + line.size(); };
+        return std::accumulate(entry.result.difference.begin(), entry.result.difference.end(),
+            entry.requestId.size() + entry.author.size() + entry.reason.size() + entry.result.message.size(), addLine);
+    }
+
 } // namespace
 
 configuration_state_machine::configuration_state_machine(state_machine_limits limits)
@@ -151,8 +159,25 @@
 {
     m_audit.push_back({ m_nextAuditSequence++, auditedText(command.requestId), auditedText(command.author),
         auditedText(command.reason), command.time, command.baseRevision, result });
-    while (m_audit.size() > m_limits.auditCapacity)
+    m_auditBytes += textSize(m_audit.back());
+    trimAudit();
+}
+
+void configuration_state_machine::replaceAudit(std::deque<audit_entry> entries, uint64_t next)
+{
+    m_nextAuditSequence = next;
+    m_audit = std::move(entries);
+    m_auditBytes = 0;
+    for (auto const& entry : m_audit)
+        m_auditBytes += textSize(entry);
+}
+
+void configuration_state_machine::trimAudit()
+{
+    while (!m_audit.empty() && (m_audit.size() > m_limits.auditCapacity || m_auditBytes > m_limits.auditBytes)) {
+        m_auditBytes -= textSize(m_audit.front());
         m_audit.pop_front();
+    }
 }
 
 command_result const* configuration_state_machine::findResult(std::string_view requestId) const
--- a/Libraries/Configuration/configuration_state_machine.h
+++ b/Libraries/Configuration/configuration_state_machine.h
@@ -24,6 +24,8 @@
     size_t requestCapacity = 4096;
     /// Audit entries; a week at 2,500 changes a day.
     size_t auditCapacity = 20000;
+    /// Bytes of text in the audit entries. Typical entries have about 200 bytes, large ones 10,000.
+    size_t auditBytes = size_t { 32 } * 1024 * 1024;
     auto operator<=>(state_machine_limits const&) const = default;
 };
 
@@ -58,7 +60,7 @@
     audit_page audit(audit_query const& query) const;
 
     /// @param base A revision.
-    /// @return One line for each change that was accepted after that revision, at most 100.
+    /// @return One line for each change that was accepted after that revision, at most 50.
     std::vector<std::string> changesSince(uint64_t base) const;
 
     /// @return The whole state as bytes.
@@ -81,6 +83,8 @@
     evaluation evaluate(configuration_command const& command) const;
     absl::StatusOr<assigned_configuration> changed(configuration_command const& command) const;
     command_result refuse(absl::Status const& status) const;
+    void trimAudit();
+    void replaceAudit(std::deque<audit_entry> entries, uint64_t next);
     void addAuditEntry(configuration_command const& command, command_result const& result);
 
     state_machine_limits m_limits;
@@ -90,6 +94,7 @@
     request_table m_requests;
     uint64_t m_nextAuditSequence = 1;
     std::deque<audit_entry> m_audit;
+    size_t m_auditBytes = 0;
 };
 
 } // namespace bilberryyard
--- a/Libraries/OperatorInterface/http_client.cpp
+++ b/Libraries/OperatorInterface/http_client.cpp
@@ -1,10 +1,17 @@
 #include <OperatorInterface/http_client.h>
 
 #include <Base/error_kind.h>
+#include <algorithm>
+#include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <civetweb.h>
 #include <memory>
+#include <poll.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <unistd.h>
 #include <utility>
 
 namespace bilberryyard {
@@ -18,6 +25,60 @@
     };
     using connection_handle = std::unique_ptr<mg_connection, connection_closer>;
 
+    class descriptor_closer {
+    public:
+        explicit descriptor_closer(int descriptor)
+            : m_descriptor(descriptor)
+        {
+        }
+        descriptor_closer(descriptor_closer const&) = delete;
+        descriptor_closer& operator=(descriptor_closer const&) = delete;
+        ~descriptor_closer() { close(m_descriptor); }
+
+    private:
+        int m_descriptor;
+    };
+
+    int startConnecting(int descriptor, endpoint const& server)
+    {
+        if (server.address.isIpv4()) {
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_addr.s_addr = htonl(server.address.toIpv4());
+            address.sin_port = htons(server.port);
+            return connect(descriptor, reinterpret_cast<sockaddr const*>(&address), sizeof(address));
+        }
+        sockaddr_in6 address {};
+        address.sin6_family = AF_INET6;
+        std::copy(server.address.bytes.begin(), server.address.bytes.end(), address.sin6_addr.s6_addr);
+        address.sin6_port = htons(server.port);
+        return connect(descriptor, reinterpret_cast<sockaddr const*>(&address), sizeof(address));
+    }
+
+    // CivetWeb waits up to 10 s for a connection, whatever the caller's time limit is, which a host behind a
+    // partition would use up. A connection of our own finds such hosts in time.
+    absl::Status probe(endpoint const& server, duration timeout)
+    {
+        int const family = server.address.isIpv4() ? AF_INET : AF_INET6;
+        int const descriptor = socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (descriptor < 0)
+            return makeError(error_kind::Internal, "cannot open a socket");
+        descriptor_closer const closer(descriptor);
+        int error = startConnecting(descriptor, server) == 0 ? 0 : errno;
+        if (error == EINPROGRESS) {
+            pollfd waiting { descriptor, POLLOUT, 0 };
+            auto const milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
+            if (poll(&waiting, 1, static_cast<int>(std::max<int64_t>(1, milliseconds))) <= 0)
+                return makeError(error_kind::Unavailable, server.toText() + " cannot be reached: no answer");
+            socklen_t size = sizeof(error);
+            getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+        }
+        if (error != 0)
+            return makeError(error_kind::Unavailable,
+                server.toText() + " cannot be reached: " + std::system_category().message(error));
+        return absl::OkStatus();
+    }
+
     std::string requestText(endpoint const& server, http_request const& request)
     {
         std::string target = request.path;
@@ -80,6 +141,8 @@
 {
     mg_init_library(0);
     auto const deadline = std::chrono::steady_clock::now() + timeout;
+    if (auto status = probe(server, timeout); !status.ok())
+        return { status, delivery::NotSent };
     std::array<char, 256> errorText {};
     connection_handle const connection(
         mg_connect_client(server.address.toText().c_str(), server.port, 0, errorText.data(), errorText.size()));
--- a/Libraries/OperatorInterface/http_server.h
+++ b/Libraries/OperatorInterface/http_server.h
@@ -18,8 +18,9 @@
     size_t maximumBodySize = size_t { 8 } * 1024 * 1024;
     /// Time for receiving a whole request, and for each write of the response.
     duration requestTimeout = std::chrono::seconds(10);
-    /// Requests that are worked on at a time.
-    int threads = 8;
+    /// Requests that are worked on at a time. More than the changes that operator_api lets wait, so that health
+    /// checks are answered while a majority is missing.
+    int threads = 32;
     auto operator<=>(http_limits const&) const = default;
 };
 
--- a/Libraries/OperatorInterface/operator_api.h
+++ b/Libraries/OperatorInterface/operator_api.h
@@ -5,6 +5,7 @@
 #include <OperatorInterface/http_router.h>
 #include <OperatorInterface/operator_requests.h>
 #include <OperatorInterface/operator_responses.h>
+#include <atomic>
 #include <functional>
 #include <string>
 #include <utility>
@@ -36,6 +37,28 @@
     }
 
 private:
+    // Half of the threads of http_server: without a majority each proposal waits for its deadline.
+    static constexpr int maximumWaiting = 16;
+
+    /// Counts a proposal for as long as it waits.
+    class waiting_place {
+    public:
+        explicit waiting_place(std::atomic<int>& count)
+            : m_count(count)
+            , m_number(++count)
+        {
+        }
+        waiting_place(waiting_place const&) = delete;
+        waiting_place& operator=(waiting_place const&) = delete;
+        ~waiting_place() { --m_count; }
+
+        int number() const { return m_number; }
+
+    private:
+        std::atomic<int>& m_count;
+        int m_number;
+    };
+
     http_response configurationOf(http_request const& request)
     {
         if (request.method != "GET")
@@ -73,6 +96,11 @@
 
     http_response propose(http_request const& request, configuration_command const& command)
     {
+        waiting_place const place(m_waiting);
+        if (place.number() > maximumWaiting)
+            return makeErrorResponse(request,
+                makeError(error_kind::Unavailable, "too many changes are waiting for the replicated log"),
+                { { "request_id", document::text(command.requestId) } });
         auto const result = m_backend.propose(command);
         if (!result.ok())
             return makeErrorResponse(request, result.status(), { { "request_id", document::text(command.requestId) } });
@@ -121,6 +149,7 @@
 
     Backend& m_backend;
     std::function<wall_time()> m_now;
+    std::atomic<int> m_waiting { 0 };
 };
 
 } // namespace bilberryyard
--- a/Tests/Configuration/test_configuration_state_machine.cpp
+++ b/Tests/Configuration/test_configuration_state_machine.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <numeric>
 #include <random>
 
 using namespace bilberryyard;
@@ -193,6 +194,13 @@
     BOOST_TEST(idOf("purchases") == 1U);
 }
 
+std::vector<int> seeds()
+{
+    std::vector<int> values(40);
+    std::iota(values.begin(), values.end(), 0);
+    return values;
+}
+
 configuration_command randomCommand(std::mt19937_64& random, uint64_t revision)
 {
     auto const pick = [&](uint64_t count) { return random() % count; };
@@ -211,7 +219,7 @@
 // Guards against a table of request ids that forgets a request which a late resend could then execute
 // a second time. The table is far smaller than the number of requests; resends come at any time, and the
 // model remembers every answer. Also guards against state that differs after snapshot and replay.
-BOOST_DATA_TEST_CASE(no_resend_is_executed_twice_with_a_small_table, boost::unit_test::data::xrange(40), seed)
+BOOST_DATA_TEST_CASE(no_resend_is_executed_twice_with_a_small_table, seeds(), seed)
 {
     state_machine_limits const limits { 16, 50 };
     std::mt19937_64 random(static_cast<uint64_t>(seed));
@@ -302,4 +310,24 @@
     BOOST_TEST((sequences({ std::nullopt, 0, 10 }) == list {}));
 }
 
+// Guards against an audit trail of large changes that outgrows the memory of a control host.
+BOOST_AUTO_TEST_CASE(audit_trail_is_bounded_in_bytes)
+{
+    configuration_state_machine machine(state_machine_limits { 16, 1000, 3000 });
+    for (int index = 0; index < 100; ++index) {
+        auto command = replaceCommand("q" + std::to_string(index), 99, "{}");
+        command.reason = std::string(400, 'r');
+        machine.apply(command.encode());
+    }
+    auto const page = machine.audit({});
+    BOOST_TEST(page.next == 101U);
+    BOOST_TEST(page.firstKept > 90U);
+    BOOST_TEST(page.entries.size() > 2U);
+    configuration_state_machine restored(state_machine_limits { 16, 1000, 3000 });
+    BOOST_REQUIRE(restored.restore(machine.snapshot()).ok());
+    auto const last = replaceCommand("last", 99, "{}").encode();
+    BOOST_TEST((restored.apply(last) == machine.apply(last)));
+    BOOST_TEST(restored.snapshot() == machine.snapshot());
+}
+
 } // namespace
--- a/Tests/Operator/test_host.h
+++ b/Tests/Operator/test_host.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <shared_mutex>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -49,7 +50,7 @@
     void setHandler(http_handler handler)
     {
         auto& shared = sharedServer();
-        std::lock_guard const lock(shared.mutex);
+        std::unique_lock const lock(shared.mutex);
         shared.handler = std::move(handler);
     }
 
@@ -59,7 +60,7 @@
 
 private:
     struct shared_server {
-        std::mutex mutex;
+        std::shared_mutex mutex;
         http_handler handler;
         std::unique_ptr<http_server> server;
 
@@ -67,12 +68,9 @@
         {
             http_router router;
             auto const forward = [this](http_request const& request) {
-                http_handler current;
-                {
-                    std::lock_guard const lock(mutex);
-                    current = handler;
-                }
-                return current(request);
+                // Held during the answer, so that no handler outlives its test.
+                std::shared_lock const lock(mutex);
+                return handler(request);
             };
             router.add("/v1", forward);
             router.add("/metrics", forward);
--- a/Tests/OperatorInterface/memory_backend.h
+++ b/Tests/OperatorInterface/memory_backend.h
@@ -3,6 +3,8 @@
 #include <Base/error_kind.h>
 #include <Configuration/configuration_state_machine.h>
 #include <OperatorInterface/configuration_backend.h>
+#include <atomic>
+#include <latch>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -14,6 +16,9 @@
 public:
     absl::StatusOr<command_result> propose(configuration_command const& command)
     {
+        ++m_held;
+        if (auto* finish = m_finish.load())
+            finish->wait();
         std::lock_guard const lock(m_mutex);
         if (m_proposeError)
             return makeError(*m_proposeError, "injected");
@@ -61,6 +66,10 @@
         return absl::OkStatus();
     }
 
+    /// Lets proposals wait until a latch is released.
+    void holdProposals(std::latch* finish) { m_finish = finish; }
+    int held() const { return m_held; }
+
     void failProposals(std::optional<error_kind> error)
     {
         std::lock_guard const lock(m_mutex);
@@ -98,6 +107,8 @@
     std::optional<error_kind> m_proposeError;
     reading_freshness m_freshness = reading_freshness::Current;
     int m_proposals = 0;
+    std::atomic<std::latch*> m_finish { nullptr };
+    std::atomic<int> m_held { 0 };
 };
 
 static_assert(configuration_backend<memory_backend>);
--- a/Tests/OperatorInterface/test_http_server.cpp
+++ b/Tests/OperatorInterface/test_http_server.cpp
@@ -154,6 +154,35 @@
     BOOST_CHECK(refused.sent == delivery::NotSent);
 }
 
+// Guards against a host behind a partition that uses up the time of a command: a listener with a full queue
+// drops further connection requests, as a partition does.
+BOOST_AUTO_TEST_CASE(silent_host_is_given_up_in_time)
+{
+    int const listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    BOOST_REQUIRE(listen(listener, 0) == 0);
+    BOOST_REQUIRE(getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    std::vector<int> occupants;
+    for (int index = 0; index < 4; ++index) {
+        occupants.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(occupants.back(), reinterpret_cast<sockaddr*>(&address), size);
+    }
+    auto const begin = std::chrono::steady_clock::now();
+    endpoint const silent { ip_address::fromIpv4(INADDR_LOOPBACK), ntohs(address.sin_port) };
+    auto const result = exchangeHttp(silent, { "GET", "/", {}, {}, "" }, 300ms);
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 2s));
+    BOOST_REQUIRE(!result.response.ok());
+    BOOST_CHECK(errorKindOf(result.response.status()) == error_kind::Unavailable);
+    BOOST_CHECK(result.sent == delivery::NotSent);
+    for (int const occupant : occupants)
+        close(occupant);
+    close(listener);
+}
+
 // Guards against a second daemon on the same port that starts without serving anything.
 BOOST_AUTO_TEST_CASE(port_in_use_is_reported)
 {
--- a/Tests/OperatorInterface/test_operator_api.cpp
+++ b/Tests/OperatorInterface/test_operator_api.cpp
@@ -5,6 +5,8 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <latch>
+#include <thread>
 
 using namespace bilberryyard;
 using namespace bilberryyard::test;
@@ -187,6 +189,28 @@
     BOOST_TEST(member(response, "request_id") == "a");
 }
 
+// Guards against changes that wait for a majority and occupy every thread, so that health checks fail too.
+BOOST_AUTO_TEST_CASE(number_of_waiting_changes_is_bounded)
+{
+    fixture f;
+    std::latch finish(1);
+    f.backend.holdProposals(&finish);
+    std::vector<std::thread> threads;
+    for (int index = 0; index < 16; ++index)
+        threads.emplace_back(
+            [&, index] { f.send("POST", "/v1/changes", replaceBody("w" + std::to_string(index), 0)); });
+    while (f.backend.held() < 16)
+        std::this_thread::yield();
+    auto const refused = f.send("POST", "/v1/changes", replaceBody("late", 0));
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(f.send("GET", "/v1/configuration").status == 200);
+    finish.count_down();
+    for (auto& thread : threads)
+        thread.join();
+    BOOST_TEST(f.backend.proposals() == 16);
+    BOOST_TEST(f.send("POST", "/v1/changes", replaceBody("late", 1)).status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(reads_answer_in_json_and_yaml)
 {
     fixture f;
