Routing: Make witnesses that lost synchronisation fill again

Cause: other hosts record flows without a witness that was silent for about the failure time, and it may return before the planner has removed it; it then resolved such flows to base. Change: a table request of a new epoch tells the planner that the host lost synchronisation. Its complete roles become filling where another complete witness exists, and the first such request is not answered, so that the host gets the table only after that.

--- a/Libraries/Membership/table_coordinator.cpp
+++ b/Libraries/Membership/table_coordinator.cpp
@@ -63,7 +63,7 @@
     if (!m_planner)
         return {};
     if (auto const* request = std::get_if<table_request>(&message))
-        return answer(sender.host, *request, now);
+        return answer(sender, *request, now);
     if (auto const* offer = std::get_if<table_offer>(&message)) {
         // An offer of a removed service or another bucket count comes from a host with another configuration;
         // it synchronises when the configurations agree.
@@ -215,13 +215,23 @@
 }
 
 std::vector<addressed_message> table_coordinator::answer(
-    host_id receiver, table_request const& request, monotonic_time now)
+    routed_peer sender, table_request const& request, monotonic_time now)
 {
+    auto const [epoch, isNew] = m_epochs.try_emplace(sender, request.epoch);
+    // A host starts with epoch 1. Of a host that this one has not answered before, a later epoch may be old
+    // news; its roles are void once more than needed then.
+    bool const hasLost = isNew ? request.epoch > 1 : epoch->second != request.epoch;
+    if (hasLost) {
+        // Not answered: the host repeats the request, and by then its witness roles are void in the table.
+        epoch->second = request.epoch;
+        m_planner->desynchronised(sender);
+        return {};
+    }
     auto content = m_planner->replicated(request.service);
     if (!content)
         return {};
     m_planner->charge(estimateDeltaBytes(content->table.snapshot()), now);
-    return { { receiver, table_snapshot { std::move(*content), request.epoch } } };
+    return { { sender.host, table_snapshot { std::move(*content), request.epoch } } };
 }
 
 std::vector<addressed_message> table_coordinator::replace(
--- a/Libraries/Membership/table_coordinator.h
+++ b/Libraries/Membership/table_coordinator.h
@@ -80,7 +80,7 @@
     std::vector<addressed_message> follow(monotonic_time now);
     planner_input inputFrom(
         std::map<service_id, std::vector<planner_server>> const& servers, host_intent intent, monotonic_time now) const;
-    std::vector<addressed_message> answer(host_id receiver, table_request const& request, monotonic_time now);
+    std::vector<addressed_message> answer(routed_peer sender, table_request const& request, monotonic_time now);
     std::vector<addressed_message> replace(routed_peer sender, table_snapshot const& snapshot, monotonic_time now);
     std::vector<addressed_message> needs(service_id service, replica_need need, monotonic_time now);
 
@@ -90,6 +90,9 @@
     std::map<service_id, table_replica> m_replicas;
     /// When each service's snapshot was last requested, so that a lost request is repeated and a slow one is not.
     std::map<service_id, monotonic_time> m_requestedAt;
+    /// Epoch of the last request of each host. A request of another epoch tells that the host lost
+    /// synchronisation in between.
+    std::map<routed_peer, uint64_t> m_epochs;
     std::optional<table_planner> m_planner;
     /// The planner whose snapshots of this epoch have arrived, with the services.
     std::map<service_id, std::pair<routed_peer, uint64_t>> m_received;
--- a/Libraries/Routing/service_planner.cpp
+++ b/Libraries/Routing/service_planner.cpp
@@ -23,13 +23,25 @@
             == std::tie(second.current, second.base, second.phase, second.stamp, secondSet);
     }
 
-    /// Whether a complete witness of the first set is missing in the second.
+    bool isCompleteIn(witness_set const& set, host_id host)
+    {
+        for (uint8_t group = 0; group < set.count; ++group) {
+            for (uint8_t position = 0; position < set.groups[group].count; ++position) {
+                auto const& member = set.groups[group].witnesses[position];
+                if (member.host == host && member.state == witness_state::Complete)
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    /// Whether a complete witness of the first set is not complete in the second.
     bool hasLostWitness(witness_set const& before, witness_set const& after)
     {
         for (uint8_t group = 0; group < before.count; ++group) {
             for (uint8_t position = 0; position < before.groups[group].count; ++position) {
                 auto const& member = before.groups[group].witnesses[position];
-                if (member.state == witness_state::Complete && !witness_selector::names(after, member.host))
+                if (member.state == witness_state::Complete && !isCompleteIn(after, member.host))
                     return true;
             }
         }
@@ -132,6 +144,17 @@
     }
 }
 
+void service_planner::desynchronised(routed_peer host)
+{
+    m_isAtRest = false;
+    for (uint32_t index = 0; index < m_table.bucketCount(); ++index) {
+        if (witness_selector::names(witnessesOf(m_table, index), host.host)) {
+            m_demoted[index].insert(host);
+            m_filled[index].erase(host);
+        }
+    }
+}
+
 void service_planner::plan(planner_input const& input)
 {
     m_now = input.now;
@@ -155,6 +178,11 @@
         if (auto change = propose(index, repairs))
             m_proposals.push_back(*change);
     }
+    // What had no effect now has none later: the witness has no other one to fill from.
+    std::erase_if(m_demoted, [&](auto const& item) {
+        return std::none_of(
+            m_proposals.begin(), m_proposals.end(), [&](proposal const& change) { return change.index == item.first; });
+    });
     // Equal states next to each other keep a delta that the budget cuts off small.
     std::sort(m_proposals.begin(), m_proposals.end(), [](proposal const& first, proposal const& second) {
         return std::tie(first.urgency, first.value.current, first.witnesses, first.index)
@@ -367,6 +395,7 @@
             memory.destination = noServer;
         m_settled.erase(change.index);
         m_filled.erase(change.index);
+        m_demoted.erase(change.index);
     }
     ++m_highestCounter;
     ++m_revision;
--- a/Libraries/Routing/service_planner.h
+++ b/Libraries/Routing/service_planner.h
@@ -56,6 +56,11 @@
     /// @param input The time, hosts and servers.
     void plan(planner_input const& input);
 
+    /// Takes note that a host lost synchronisation: others may have recorded flows without it meanwhile, so
+    /// where another complete witness exists it must fill again.
+    /// @param host The host.
+    void desynchronised(routed_peer host);
+
     /// Publishes what plan() decided, most urgent first, and applies it to the table. Once every live host
     /// holds the table, the first delta is published even when it is empty: it marks the table in the
     /// lineage, so that a side of a partition that needed no change is not taken for one that only lags.
@@ -126,6 +131,8 @@
     /// Witnesses that reported a bucket settled in its present state.
     std::map<uint32_t, std::set<routed_peer>> m_settled;
     std::map<uint32_t, std::set<routed_peer>> m_filled;
+    /// Witnesses that are to fill again.
+    std::map<uint32_t, std::set<routed_peer>> m_demoted;
     std::vector<proposal> m_proposals;
     uint64_t m_highestCounter = 0;
     uint64_t m_revision = 0;
--- a/Libraries/Routing/service_planner_proposals.cpp
+++ b/Libraries/Routing/service_planner_proposals.cpp
@@ -31,6 +31,10 @@
 void service_planner::proposeWitnesses(proposal& change, bool& isChanged, std::vector<bool> const& repairs) const
 {
     auto set = change.witnesses;
+    if (auto const demoted = m_demoted.find(change.index); demoted != m_demoted.end()) {
+        for (auto const& host : demoted->second)
+            set = m_selector->demoted(set, host);
+    }
     if (auto const filled = m_filled.find(change.index); filled != m_filled.end()) {
         for (auto const& reporter : filled->second)
             set = witness_selector::completed(set, reporter);
--- a/Libraries/Routing/table_planner.h
+++ b/Libraries/Routing/table_planner.h
@@ -46,6 +46,10 @@
     /// @param report The report.
     void filled(filled_report const& report);
 
+    /// Takes note that a host lost synchronisation, for example because it was suspended.
+    /// @param host The host.
+    void desynchronised(routed_peer host);
+
     /// Counts other table traffic, for example snapshots, against the budget.
     /// @param bytes Bytes sent to all peers together.
     /// @param now The time.
--- a/Libraries/Routing/witness_selector.cpp
+++ b/Libraries/Routing/witness_selector.cpp
@@ -115,6 +115,23 @@
     return result;
 }
 
+witness_set witness_selector::demoted(witness_set const& set, routed_peer member) const
+{
+    witness_set result = set;
+    for (uint8_t group = 0; group < result.count; ++group) {
+        auto& members = result.groups[group];
+        auto const end = members.witnesses.begin() + members.count;
+        bool const hasOther = std::any_of(members.witnesses.begin(), end, [&](witness const& other) {
+            return other.host != member.host && other.state == witness_state::Complete && reachOf(other) == reach::Live;
+        });
+        for (auto value = members.witnesses.begin(); hasOther && value != end; ++value) {
+            if (value->host == member.host && value->incarnation == member.incarnation)
+                value->state = witness_state::Filling;
+        }
+    }
+    return result;
+}
+
 bool witness_selector::names(witness_set const& set, host_id host)
 {
     for (uint8_t group = 0; group < set.count; ++group) {
--- a/Libraries/Routing/witness_selector.h
+++ b/Libraries/Routing/witness_selector.h
@@ -50,6 +50,12 @@
     /// @return The set with this witness complete wherever it was filling.
     static witness_set completed(witness_set const& set, routed_peer reporter);
 
+    /// Makes a witness that may lack entries fill again, in groups that have another live complete one.
+    /// @param set The set.
+    /// @param member The witness; it keeps the entries that it has.
+    /// @return The set with this witness filling.
+    witness_set demoted(witness_set const& set, routed_peer member) const;
+
     /// @param set A set.
     /// @param host A host.
     /// @return Whether any group names the host.
--- a/Tests/Membership/planner_cluster.cpp
+++ b/Tests/Membership/planner_cluster.cpp
@@ -159,6 +159,18 @@
         hosts[leaver.value - 1].isRunning = false;
 }
 
+bool planner_cluster::knowsWitness(uint32_t host, uint32_t index, witness const& member) const
+{
+    auto const& table = hosts[host - 1].coordinator->table(service);
+    auto const& set = table.witnessesOf(table.at(index));
+    for (uint8_t group = 0; group < set.count; ++group) {
+        auto const& members = set.groups[group].witnesses;
+        if (std::find(members.begin(), members.end(), member) != members.end())
+            return true;
+    }
+    return false;
+}
+
 void planner_cluster::reportRoles(cluster_host& host)
 {
     auto const& table = host.coordinator->table(service);
@@ -190,9 +202,11 @@
                     host.fillingSince.erase(index);
                     continue;
                 }
+                // The source must know that this host fills: only then do all later flows pass through both.
                 if (!host.fillingSince.contains(index)) {
                     host.fillingSince[index] = now;
-                } else if (auto const source = firstLive(host, members); source && isActive(*source)) {
+                } else if (auto const source = firstLive(host, members);
+                           source && isActive(*source) && knowsWitness(*source, index, member)) {
                     for (auto const& [id, server] : hosts[*source - 1].entries)
                         if (bucketOf(id) == index)
                             host.entries.emplace(id, server);
--- a/Tests/Membership/planner_cluster.h
+++ b/Tests/Membership/planner_cluster.h
@@ -87,6 +87,7 @@
     void deliver();
     void stepHost(cluster_host& host);
     void reportRoles(cluster_host& host);
+    bool knowsWitness(uint32_t host, uint32_t index, witness const& member) const;
     void sendSegments();
     size_t digestCount() const;
     uint32_t anyHost();
--- a/Tests/Membership/test_planner_cluster.cpp
+++ b/Tests/Membership/test_planner_cluster.cpp
@@ -61,8 +61,8 @@
 
 // Guards against flows broken by the failure of any one balancer, planner included, at the moment of a server
 // change, and against tables that differ after the take-over. The failed host returns with a new incarnation.
-BOOST_DATA_TEST_CASE(
-    balancer_failure_during_server_change_breaks_no_flow, boost::unit_test::data::xrange(1u, 21u), seed)
+BOOST_DATA_TEST_CASE(balancer_failure_during_server_change_breaks_no_flow,
+    boost::unit_test::data::xrange(1u, 21u) + boost::unit_test::data::make({ 124u, 136u, 140u, 147u }), seed)
 {
     planner_cluster cluster(5, seed);
     cluster.run(6000);
@@ -83,7 +83,9 @@
 }
 
 // Guards against a host that acts on an old table after it was suspended.
-BOOST_DATA_TEST_CASE(suspended_balancer_breaks_no_flow, boost::unit_test::data::xrange(1u, 21u), seed)
+// The last seeds once resolved flows at a witness that others had skipped while it was suspended.
+BOOST_DATA_TEST_CASE(suspended_balancer_breaks_no_flow,
+    boost::unit_test::data::xrange(1u, 21u) + boost::unit_test::data::make({ 102u, 161u, 346u, 348u }), seed)
 {
     planner_cluster cluster(5, seed);
     cluster.run(6000);
@@ -101,7 +103,8 @@
 
 // Guards against tables that stay different after partitions, crashes, dead servers and lost messages in any
 // order, against a partition side without a planner, and against flows that no host can resolve afterwards.
-BOOST_DATA_TEST_CASE(tables_converge_after_any_failures, boost::unit_test::data::xrange(1u, 41u), seed)
+BOOST_DATA_TEST_CASE(tables_converge_after_any_failures,
+    boost::unit_test::data::xrange(1u, 41u) + boost::unit_test::data::make({ 363u, 516u, 637u }), seed)
 {
     planner_cluster cluster(5, seed);
     cluster.run(6000);
