--- a/Tests/Consensus/test_storage.cpp
+++ b/Tests/Consensus/test_storage.cpp
@@ -213,6 +213,22 @@
     BOOST_TEST(reopened->execute(append(restored.entries.back().index + 1, 40)).ok());
 }
 
+// Guards against entries that were read back after a process crash, acknowledged, and lost with the page cache.
+BOOST_DATA_TEST_CASE(entries_read_back_are_durable, boost::unit_test::data::xrange(50), seed)
+{
+    seeded_random random(static_cast<uint64_t>(seed));
+    auto files = smallFolder();
+    {
+        auto opened = open(files).value();
+        files.failAfter(random.below(8));
+        static_cast<void>(opened.execute(append(25, 30)));
+    }
+    files.recover();
+    auto const seen = open(files).value().takeRestored();
+    files.losePower(random);
+    BOOST_TEST(isSame(open(files).value().takeRestored(), seen));
+}
+
 // Guards against a crash between saving a received snapshot and restarting the log after it.
 BOOST_DATA_TEST_CASE(interrupted_snapshot_installation_is_completed, boost::unit_test::data::make({ 18, 40 }), index)
 {
