--- a/Libraries/Coordination/settle_scanner.cpp
+++ b/Libraries/Coordination/settle_scanner.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+    constexpr std::chrono::seconds offerInterval { 10 };
+
     bool isCompleteWitness(witness_set const& set, routed_peer self)
     {
         for (uint8_t group = 0; group < set.count; ++group) {
@@ -29,7 +31,7 @@
 std::vector<settle_command> settle_scanner::step(
     bucket_table const& table, std::chrono::milliseconds flowIdleTimeout, monotonic_time now)
 {
-    m_memory.resize(table.bucketCount(), { {}, now });
+    m_memory.resize(table.bucketCount(), { {}, now, std::nullopt });
     std::map<table_stamp, std::vector<uint32_t>> candidates;
     for (uint32_t visited = 0; visited < std::min(m_bucketsPerStep, table.bucketCount()); ++visited) {
         auto const index = m_next;
@@ -37,10 +39,13 @@
         auto const& value = table.at(index);
         auto& memory = m_memory[index];
         if (memory.stamp != value.stamp)
-            memory = { value.stamp, now };
+            memory = { value.stamp, now, std::nullopt };
         if (value.phase != bucket_phase::Tracked || now - memory.seenAt < flowIdleTimeout
             || !isCompleteWitness(table.witnessesOf(value), m_self))
             continue;
+        if (memory.offeredAt && now - *memory.offeredAt < offerInterval)
+            continue;
+        memory.offeredAt = now;
         candidates[value.stamp].push_back(index);
     }
     std::vector<settle_command> commands;
--- a/Libraries/Coordination/settle_scanner.h
+++ b/Libraries/Coordination/settle_scanner.h
@@ -4,6 +4,7 @@
 #include <Coordination/flow_state.h>
 #include <Routing/bucket_table.h>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bilberryyard {
@@ -28,6 +29,8 @@
     struct bucket_memory {
         table_stamp stamp;
         monotonic_time seenAt;
+        /// When the bucket was last put into a command. Reports can be lost, so they are repeated.
+        std::optional<monotonic_time> offeredAt;
     };
 
     routed_peer m_self;
--- a/Services/Daemon/coordination_duty.cpp
+++ b/Services/Daemon/coordination_duty.cpp
@@ -9,7 +9,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds receiveWait { 10 };
-    constexpr std::chrono::milliseconds statusInterval { 100 };
+    constexpr std::chrono::milliseconds stepInterval { 50 };
+    constexpr std::chrono::milliseconds statusInterval { 200 };
 
     std::string_view kindOf(table_message const& message)
     {
@@ -21,7 +22,8 @@
     std::string_view kindOf(coordination_message const& message)
     {
         constexpr std::array<std::string_view, std::variant_size_v<coordination_message::body_type>> names {
-            "heartbeat", "records", "evidence", "table", "fill_request", "fill_answer", "leave_permission" };
+            "heartbeat", "records", "evidence", "table", "fill_request", "fill_answer", "leave_permission"
+        };
         auto const* table = std::get_if<table_message>(&message.body);
         return table ? kindOf(*table) : names[message.body.index()];
     }
@@ -44,11 +46,18 @@
     while (!stopToken.stop_requested()) {
         auto const now = std::chrono::steady_clock::now();
         takeConfigurations(now);
-        while (auto const task = m_tasks.pop())
+        while (auto const task = m_tasks.pop()) {
             (*task)(m_coordinator ? &*m_coordinator : nullptr, now);
+            m_hasInput = true;
+        }
         if (m_coordinator) {
             takeResults(now);
-            m_coordinator->step(now);
+            // A step looks at every server and bucket, so without input it waits for its interval.
+            if (m_hasInput || now - m_steppedAt >= stepInterval) {
+                m_coordinator->step(now);
+                m_steppedAt = now;
+                m_hasInput = false;
+            }
             sendOutput();
         }
         if (!m_statusAt || now - *m_statusAt >= statusInterval) {
@@ -84,14 +93,17 @@
 
 void coordination_duty::takeResults(monotonic_time now)
 {
-    while (auto const result = m_packets.results().pop())
+    while (auto const result = m_packets.results().pop()) {
         m_coordinator->receive(*result, now);
+        m_hasInput = true;
+    }
 }
 
 void coordination_duty::receiveMessages(std::chrono::milliseconds timeout)
 {
     auto bytes = m_socket.receive(timeout);
     while (bytes) {
+        m_hasInput = true;
         auto const message = m_codec.decode(*bytes);
         if (!message.ok())
             m_metrics.counter("peer_messages_refused_total").add();
--- a/Services/Daemon/coordination_duty.h
+++ b/Services/Daemon/coordination_duty.h
@@ -61,6 +61,8 @@
     std::shared_ptr<coordinated_configuration const> m_sharedConfiguration;
     std::shared_ptr<forwarding_view const> m_unsentView;
     std::optional<monotonic_time> m_statusAt;
+    monotonic_time m_steppedAt;
+    bool m_hasInput = false;
     std::unique_ptr<duty_thread> m_thread;
 };
 
