Routing: List the seeds of the simulated network

Cause: Boost's xrange raises a false maybe-uninitialized error in a build with address and undefined sanitizers. Change: the same seeds as arrays.

--- a/Tests/Routing/test_planned_changes.cpp
+++ b/Tests/Routing/test_planned_changes.cpp
@@ -134,9 +134,12 @@
     return runScenario<flow_router>(row, chosen);
 }
 
+int const seeds[] = { 1, 2, 3, 4, 5, 6, 7, 8 };
+int const lossySeeds[] = { 1, 2, 3 };
+
 // Guards against a planned change, host failure or suspension that breaks a flow, moves a duplicate or reaches
 // another service, whatever host each packet arrives at and whenever updates arrive (P1, P2, P5, P6, F1 to F3).
-BOOST_DATA_TEST_CASE(no_flow_breaks, scenarios* boost::unit_test::data::xrange(1, 9), row, seed)
+BOOST_DATA_TEST_CASE(no_flow_breaks, scenarios* boost::unit_test::data::make(seeds), row, seed)
 {
     auto const found = runScenario<flow_router>(
         row, { .seed = static_cast<uint64_t>(seed), .witnesses = static_cast<uint8_t>(2 + seed % 2) });
@@ -145,7 +148,7 @@
 
 // Guards against records that are lost or overtaken, so that witnesses disagree. A SYN that is lost three times stays
 // unanswered until the end of the run, which is no fault.
-BOOST_DATA_TEST_CASE(no_flow_breaks_with_lossy_relays, scenarios* boost::unit_test::data::xrange(1, 4), row, seed)
+BOOST_DATA_TEST_CASE(no_flow_breaks_with_lossy_relays, scenarios* boost::unit_test::data::make(lossySeeds), row, seed)
 {
     auto found = runScenario<flow_router>(row,
         { .seed = static_cast<uint64_t>(seed), .lossyRelays = true, .witnesses = static_cast<uint8_t>(2 + seed % 2) });
