Trace: Add the trace format, the replayer and a first set of traces

Change: a checksummed trace file, a recorder, a replayer over the decision code and bilberryyard-replay.

--- a/Services/Daemon/coordinated_configuration_builder.cpp
+++ b/Libraries/Coordination/coordinated_configuration_builder.cpp
@@ -1,4 +1,4 @@
-#include "coordinated_configuration_builder.h"
+#include <Coordination/coordinated_configuration_builder.h>
 
 #include <chrono>
 
--- /dev/null
+++ b/Libraries/Trace/replay_servers.cpp
@@ -0,0 +1,209 @@
+#include <Trace/replay_servers.h>
+
+#include <Base/error_kind.h>
+
+namespace bilberryyard {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr uint32_t firstAddress = 0x0ac80000;
+    constexpr uint16_t gueServerPort = 6080;
+    constexpr duration announcementInterval = 1s;
+    constexpr duration serviceTime = 2ms;
+    // Parts of an answer leave with up to this jitter, so that they also arrive out of order.
+    constexpr uint64_t partJitterMicroseconds = 4'000;
+    // Target: a leaving server gets no new flow within 3 s.
+    constexpr duration drainTarget = 3s;
+
+} // namespace
+
+replay_servers::replay_servers(
+    replay_network& network, replay_callers& callers, std::function<bool(server_announcement const&)> announce)
+    : m_network(network)
+    , m_callers(callers)
+    , m_announce(std::move(announce))
+{
+}
+
+ip_endpoint replay_servers::endpointOf(uint32_t server) const
+{
+    return { ip_address::fromIpv4(firstAddress + server), gueServerPort };
+}
+
+absl::Status replay_servers::apply(server_event const& event)
+{
+    if (event.kind == server_event_kind::Start) {
+        auto& server = m_servers[event.server];
+        server.number = event.server;
+        server.settings = event;
+        server.state = server_state::Serving;
+        server.isRunning = true;
+        ++server.incarnation;
+        server.connections.clear();
+        server.slotFreeAt.assign(std::max<uint32_t>(event.slots, 1), m_network.now());
+        m_endpoints[endpointOf(event.server)] = event.server;
+        announceEachSecond(event.server, server.incarnation);
+        return absl::OkStatus();
+    }
+    auto const found = m_servers.find(event.server);
+    if (found == m_servers.end())
+        return makeError(
+            error_kind::NotFound, "event for server " + std::to_string(event.server) + ", which never started");
+    auto& server = found->second;
+    if (event.kind == server_event_kind::Kill) {
+        server.isRunning = false;
+        for (auto const& [flow, value] : server.connections)
+            m_callers.serverKilled(flow);
+        server.connections.clear();
+        return absl::OkStatus();
+    }
+    server.state = server_state::Draining;
+    server.drainedAt = m_network.now();
+    announce(server);
+    return absl::OkStatus();
+}
+
+void replay_servers::announce(server_record_state& server)
+{
+    server_announcement value;
+    auto const endpoint = endpointOf(server.number);
+    value.key = { server.settings.service, endpoint.address, endpoint.port };
+    value.zone = server.settings.zone;
+    value.state = m_network.options().lacks(replay_mechanism::DrainState) ? server_state::Serving : server.state;
+    value.slots = server.settings.slots;
+    value.connectionLimit = server.settings.connectionLimit;
+    value.load.busySlots = static_cast<uint32_t>(std::count_if(server.slotFreeAt.begin(), server.slotFreeAt.end(),
+        [&](monotonic_time free) { return free > m_network.now(); }));
+    value.load.openConnections = static_cast<uint32_t>(server.connections.size());
+    value.incarnation = server.incarnation;
+    m_announce(value);
+}
+
+void replay_servers::announceEachSecond(uint32_t number, uint64_t incarnation)
+{
+    auto& server = m_servers[number];
+    if (!server.isRunning || server.incarnation != incarnation)
+        return;
+    announce(server);
+    stopWhenEmpty(server);
+    m_network.queue().add(m_network.now() + announcementInterval,
+        [this, number, incarnation] { announceEachSecond(number, incarnation); });
+}
+
+void replay_servers::stopWhenEmpty(server_record_state& server)
+{
+    // The last announcements must have reached every host before the process ends.
+    if (server.state == server_state::Draining && server.connections.empty()
+        && m_network.now() - server.drainedAt > drainTarget)
+        server.isRunning = false;
+}
+
+void replay_servers::receive(zone_id sender, ip_endpoint const& endpoint, parsed_packet const& packet)
+{
+    auto const found = m_endpoints.find(endpoint);
+    auto const flow = m_callers.flowOf(packet.key);
+    if (found == m_endpoints.end() || !flow)
+        return;
+    auto const& server = m_servers[found->second];
+    if (!m_network.connects(sender, server.settings.zone))
+        return;
+    m_network.queue().add(m_network.now() + m_network.delayBetween(sender, server.settings.zone),
+        [this, number = server.number, incarnation = server.incarnation, flow = *flow, packet] {
+            deliver(number, incarnation, flow, packet);
+        });
+}
+
+void replay_servers::deliver(uint32_t number, uint64_t incarnation, uint32_t flow, parsed_packet const& packet)
+{
+    auto& server = m_servers[number];
+    if (!server.isRunning || server.incarnation != incarnation)
+        return;
+    if (m_callers.burstOf(flow).service != server.settings.service)
+        ++m_network.outcome().wrongServicePackets;
+    if (packet.kind == packet_kind::TcpSyn)
+        return accept(server, flow);
+    auto const found = server.connections.find(flow);
+    if (found == server.connections.end())
+        return tell(flow, caller_event::ResetByServer);
+    if ((packet.tcpFlags & tcp_flags::fin) != 0) {
+        server.connections.erase(found);
+        return tell(flow, caller_event::Finished);
+    }
+    if (packet.payloadLength == 0)
+        return;
+    if (found->second.executed.insert(packet.tcpSequence).second)
+        return execute(server, flow, packet.tcpSequence);
+    answer(flow, packet.tcpSequence, duration::zero());
+}
+
+void replay_servers::accept(server_record_state& server, uint32_t flow)
+{
+    auto const limit = server.settings.connectionLimit;
+    bool const isKnown = server.connections.contains(flow);
+    // A server at its limit ignores SYNs, as the listen backlog of TCP does.
+    if (!isKnown && limit != 0 && server.connections.size() >= limit)
+        return;
+    if (!isKnown) {
+        if (server.state == server_state::Draining && m_network.now() - server.drainedAt > drainTarget)
+            ++m_network.outcome().lateFlowsAtDraining;
+        server.connections.try_emplace(flow);
+    }
+    tell(flow, caller_event::Accepted);
+}
+
+void replay_servers::execute(server_record_state& server, uint32_t flow, uint32_t request)
+{
+    m_callers.executed(flow, request);
+    auto const slot = std::min_element(server.slotFreeAt.begin(), server.slotFreeAt.end());
+    *slot = std::max(*slot, m_network.now()) + serviceTime;
+    answer(flow, request, *slot - m_network.now());
+}
+
+void replay_servers::answer(uint32_t flow, uint32_t request, duration after)
+{
+    auto const parts = m_callers.burstOf(flow).answerParts;
+    for (uint32_t part = 0; part < parts; ++part) {
+        auto const jitter = std::chrono::microseconds(parts > 1 ? m_network.random(2) % partJitterMicroseconds : 0);
+        m_network.queue().add(
+            m_network.now() + after + jitter + m_network.header().callerDelay, [this, flow, request, part] {
+                m_callers.receive(flow, answer_segment { flow, request, part });
+            });
+    }
+}
+
+void replay_servers::tell(uint32_t flow, caller_event event)
+{
+    m_network.queue().add(
+        m_network.now() + m_network.header().callerDelay, [this, flow, event] { m_callers.receive(flow, event); });
+}
+
+void replay_servers::sample(std::map<service_id, std::string> const& names)
+{
+    for (auto const& [service, name] : names) {
+        size_t total = 0;
+        size_t largest = 0;
+        size_t servers = 0;
+        for (auto const& [number, server] : m_servers) {
+            if (!server.isRunning || server.state != server_state::Serving || server.settings.service != service)
+                continue;
+            ++servers;
+            total += server.connections.size();
+            largest = std::max(largest, server.connections.size());
+        }
+        if (total == 0)
+            continue;
+        auto const mean = static_cast<double>(total) / static_cast<double>(servers);
+        m_network.outcome().imbalance.push_back(
+            { m_network.elapsed(), name, static_cast<double>(largest) / mean, mean });
+    }
+}
+
+void replay_servers::finish()
+{
+    for (auto const& [number, server] : m_servers)
+        m_network.outcome().unfinishedStops += server.isRunning && server.state == server_state::Draining ? 1 : 0;
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Trace/trace_recorder.cpp
@@ -0,0 +1,80 @@
+#include <Trace/trace_recorder.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace bilberryyard {
+
+namespace {
+
+    constexpr std::chrono::milliseconds drainInterval { 5 };
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<trace_recorder>> trace_recorder::create(
+    std::string const& path, trace_header const& header, monotonic_time start, size_t capacity)
+{
+    auto writer = trace_writer::create(path, header);
+    if (!writer.ok())
+        return writer.status();
+    return std::unique_ptr<trace_recorder>(new trace_recorder(*std::move(writer), start, capacity));
+}
+
+trace_recorder::trace_recorder(trace_writer writer, monotonic_time start, size_t capacity)
+    : m_writer(std::move(writer))
+    , m_start(start)
+    , m_packets(capacity)
+    , m_controls(capacity)
+{
+    m_thread = std::make_unique<duty_thread>("trace", [this](std::stop_token const& token) { run(token); });
+}
+
+absl::Status trace_recorder::finish()
+{
+    m_thread.reset();
+    while (drain() > 0) { }
+    note(m_status, m_writer.finish());
+    return m_status;
+}
+
+void trace_recorder::note(absl::Status& first, absl::Status const& status)
+{
+    if (first.ok())
+        first = status;
+}
+
+bool trace_recorder::record(bounded_ring<trace_input>& ring, trace_input::body_type body, monotonic_time now)
+{
+    return ring.push({ now - m_start, std::move(body) });
+}
+
+void trace_recorder::run(std::stop_token const& stopToken)
+{
+    while (!stopToken.stop_requested()) {
+        if (drain() == 0)
+            std::this_thread::sleep_for(drainInterval);
+    }
+}
+
+size_t trace_recorder::drain()
+{
+    std::vector<trace_input> inputs;
+    for (auto* ring : { &m_packets, &m_controls }) {
+        while (auto input = ring->pop())
+            inputs.push_back(*std::move(input));
+    }
+    std::stable_sort(inputs.begin(), inputs.end(),
+        [](trace_input const& first, trace_input const& second) { return first.time < second.time; });
+    if (auto const drops = dropped(); drops > m_writtenDrops) {
+        inputs.push_back({ m_last, dropped_inputs { drops - m_writtenDrops } });
+        m_writtenDrops = drops;
+    }
+    for (auto& input : inputs) {
+        // The two rings are emptied one after the other, so an input may be older than the last one written.
+        input.time = m_last = std::max(m_last, input.time);
+        note(m_status, m_writer.write(input));
+    }
+    return inputs.size();
+}
+
+} // namespace bilberryyard
--- a/Services/Daemon/configuration_duty.cpp
+++ b/Services/Daemon/configuration_duty.cpp
@@ -1,6 +1,6 @@
 #include "configuration_duty.h"
 
-#include "coordinated_configuration_builder.h"
+#include <Coordination/coordinated_configuration_builder.h>
 #include <Base/error_kind.h>
 #include <Base/hashing.h>
 #include <Configuration/configuration_reader.h>
--- /dev/null
+++ b/Utilities/Replay/main.cpp
@@ -0,0 +1,103 @@
+#include "trace_folder.h"
+#include "trace_scenarios.h"
+#include <Base/error_kind.h>
+#include <Trace/trace_writer.h>
+#include <docopt/docopt.h>
+#include <filesystem>
+#include <iostream>
+
+namespace bilberryyard {
+
+namespace {
+
+    constexpr char usage[] = R"(bilberryyard-replay: replays traces against their stated outcomes.
+
+Usage:
+  bilberryyard-replay generate --folder FOLDER [NAME...]
+  bilberryyard-replay run --folder FOLDER [--router ROUTER] [--without MECHANISM]... [--verbose] [NAME...]
+  bilberryyard-replay absences --folder FOLDER [NAME...]
+  bilberryyard-replay --help
+
+Commands:
+  generate   Writes the traces from their seeds.
+  run        Replays traces; exits with 1 when an outcome is not as stated.
+  absences   Replays each trace without the mechanisms that its file names; exits with 1 when an absence changes
+             nothing.
+
+Options:
+  --folder FOLDER      Folder with NAME.trace and NAME.yaml.
+  --router ROUTER      flow, consistent-hash or maglev [default: flow].
+  --without MECHANISM  tracking, witnesses, synchronisation-check, refusal-rule, drain-state, service-separation,
+                       server-lease, leader-lease, request-table, base-check, revision-order or log-sync.
+  --verbose            Print every outcome.
+)";
+
+    using arguments = std::map<std::string, docopt::value>;
+
+    int fail(absl::Status const& status)
+    {
+        std::cerr << "bilberryyard-replay: " << messageOf(status) << std::endl;
+        return answerFor(errorKindOf(status)).exitCode;
+    }
+
+    absl::Status writeTrace(std::string const& path, trace_scenario const& scenario)
+    {
+        auto writer = trace_writer::create(path, scenario.header());
+        if (!writer.ok())
+            return writer.status();
+        for (auto const& input : scenario.inputs()) {
+            if (auto status = writer->write(input); !status.ok())
+                return status;
+        }
+        return writer->finish();
+    }
+
+    int generate(std::string const& folder, std::vector<std::string> const& only)
+    {
+        for (auto const& scenario : makeScenarios()) {
+            auto const& name = scenario.header().name;
+            if (!only.empty() && std::find(only.begin(), only.end(), name) == only.end())
+                continue;
+            auto const path = (std::filesystem::path(folder) / (name + ".trace")).string();
+            if (auto status = writeTrace(path, scenario); !status.ok())
+                return fail(status);
+            std::cout << path << ": " << std::filesystem::file_size(path) << " bytes" << std::endl;
+        }
+        return 0;
+    }
+
+    int run(arguments const& given)
+    {
+        auto const folder = given.at("--folder").asString();
+        auto const names = given.at("NAME").asStringList();
+        if (given.at("generate").asBool())
+            return generate(folder, names);
+        if (given.at("absences").asBool())
+            return runAbsences(folder, names);
+        replay_options options;
+        for (auto const& name : given.at("--without").asStringList()) {
+            auto const mechanism = replayMechanismOf(name);
+            if (!mechanism)
+                return fail(makeError(error_kind::InvalidArgument, "mechanism '" + name + "' is unknown"));
+            options.absent.insert(*mechanism);
+        }
+        auto const policy = replayPolicyOf(given.at("--router").asString());
+        if (!policy.ok())
+            return fail(policy.status());
+        auto const detail = given.at("--verbose").asBool() ? outcome_detail::Everything : outcome_detail::Stated;
+        return runTraces(folder, names, *policy, options, detail);
+    }
+
+} // namespace
+
+} // namespace bilberryyard
+
+int main(int argc, char const** argv)
+{
+    try {
+        return bilberryyard::run(docopt::docopt(bilberryyard::usage, { argv + 1, argv + argc }));
+    } catch (std::exception const& error) {
+        std::cerr << "bilberryyard-replay: " << error.what() << std::endl;
+        return bilberryyard::answerFor(bilberryyard::error_kind::InvalidArgument).exitCode;
+    }
+}
