Coordination: Set the end of the lease in the routing view

Cause: routing_view::synchronisedUntil was never set, so that a host that resumes from a suspension trusted its old table until the coordination thread noticed. Change: the view carries the end of the lease and is published again before a quarter of the lease has passed.

--- a/Libraries/Coordination/balancer_coordinator_view.cpp
+++ b/Libraries/Coordination/balancer_coordinator_view.cpp
@@ -119,6 +119,8 @@
     auto view = std::make_shared<routing_view>();
     view->self = m_settings.self;
     view->state = m_peers->state();
+    // The gap after which peer_view takes this process for suspended: the packet thread may run first afterwards.
+    view->synchronisedUntil = now + m_settings.peers.lease;
     view->peers = m_peers->livePeers();
     view->hashSeed = m_settings.hashSeed;
     view->flowIdleTimeout = m_configuration.flowIdleTimeout;
@@ -143,8 +145,9 @@
     auto const routing = buildRoutingView(now);
     if (m_view) {
         auto const& old = *m_view->routing;
-        if (old.state == routing->state && old.peers == routing->peers && old.endpoints == routing->endpoints
-            && old.tables == routing->tables && old.servers == routing->servers
+        bool const isRecent = routing->synchronisedUntil - old.synchronisedUntil < m_settings.peers.lease / 4;
+        if (isRecent && old.state == routing->state && old.peers == routing->peers
+            && old.endpoints == routing->endpoints && old.tables == routing->tables && old.servers == routing->servers
             && old.flowIdleTimeout == routing->flowIdleTimeout
             && old.datagramIdleTimeout == routing->datagramIdleTimeout)
             return;
