--- a/Libraries/Trace/replay_balancer.h
+++ b/Libraries/Trace/replay_balancer.h
@@ -38,7 +38,11 @@
     bool isRunning() const { return m_parts.has_value(); }
     bool isActive() const { return isRunning() && !m_suspended; }
     /// @return Whether the platform's readiness check lets the fabric send packets here.
-    bool isReady() const { return isActive() && !m_leaving; }
+    bool isReady() const
+    {
+        bool const noticed = m_suspended && m_network.now() - m_suspendedAt >= unansweredChecks;
+        return isRunning() && !noticed && !m_leaving;
+    }
     uint64_t revision() const { return m_revision; }
 
     /// Starts the process with the configuration in its file.
@@ -70,7 +74,11 @@
         m_inbox.clear();
     }
 
-    void suspend() { m_suspended = isRunning(); }
+    void suspend()
+    {
+        m_suspended = isRunning();
+        m_suspendedAt = m_network.now();
+    }
 
     /// Continues; what waited in the sockets is handled first, because the packet thread may run first.
     void resume()
@@ -160,7 +168,9 @@
     }
 
 private:
-    // As in the packet thread, which visits more entries but is called more often.
+    // The kernel of a suspended process accepts readiness checks, so that they end by timeout: three of 2 s.
+    static constexpr std::chrono::seconds unansweredChecks { 6 };
+    // As in the packet thread, which visits fewer entries but is called more often.
     static constexpr size_t expiryStep = 2048;
     static constexpr uint32_t sampleInterval = 16;
     static constexpr size_t watchedFlows = 8192;
@@ -246,6 +256,7 @@
     uint32_t m_incarnation = 0;
     monotonic_time m_evidenceAt;
     bool m_suspended = false;
+    monotonic_time m_suspendedAt;
     bool m_leaving = false;
 };
 
--- a/Utilities/Replay/main.cpp
+++ b/Utilities/Replay/main.cpp
@@ -1,7 +1,9 @@
+#include "replay_report.h"
 #include "trace_folder.h"
 #include "trace_scenarios.h"
 #include <Base/error_kind.h>
 #include <Trace/trace_writer.h>
+#include <algorithm>
 #include <docopt/docopt.h>
 #include <filesystem>
 #include <iostream>
@@ -16,6 +18,7 @@
   bilberryyard-replay generate --folder FOLDER [NAME...]
   bilberryyard-replay run --folder FOLDER [--router ROUTER] [--without MECHANISM]... [--verbose] [NAME...]
   bilberryyard-replay absences --folder FOLDER [NAME...]
+  bilberryyard-replay report --folder FOLDER --output FOLDER [NAME...]
   bilberryyard-replay --help
 
 Commands:
@@ -23,12 +26,14 @@
   run        Replays traces; exits with 1 when an outcome is not as stated.
   absences   Replays each trace without the mechanisms that its file names; exits with 1 when an absence changes
              nothing.
+  report     Compares the flow router with the baselines by the users' measures; writes report.txt and report.svg.
 
 Options:
   --folder FOLDER      Folder with NAME.trace and NAME.yaml.
   --router ROUTER      flow, consistent-hash or maglev [default: flow].
   --without MECHANISM  tracking, witnesses, synchronisation-check, refusal-rule, drain-state, service-separation,
                        server-lease, leader-lease, request-table, base-check, revision-order or log-sync.
+  --output FOLDER      Folder of the report.
   --verbose            Print every outcome.
 )";
 
@@ -74,6 +79,8 @@
             return generate(folder, names);
         if (given.at("absences").asBool())
             return runAbsences(folder, names);
+        if (given.at("report").asBool())
+            return writeReport(folder, given.at("--output").asString(), names);
         replay_options options;
         for (auto const& name : given.at("--without").asStringList()) {
             auto const mechanism = replayMechanismOf(name);
--- a/Utilities/Replay/trace_scenarios.cpp
+++ b/Utilities/Replay/trace_scenarios.cpp
@@ -210,8 +210,8 @@
             scenario.hostEvent(at, scenario.entryHost(2 + index), host::Suspend);
             scenario.serverEvent(at + 500ms, 3 + static_cast<uint32_t>(index), server::Drain);
             scenario.startServer(at + 600ms, work::Main, 16 + static_cast<uint32_t>(index));
-            scenario.feeds(at + 3s, work::Main, 300, 2s, 28s);
-            scenario.hostEvent(at + 5s, scenario.entryHost(2 + index), host::Resume);
+            scenario.feeds(at + 2s, work::Main, 800, 4s, 28s);
+            scenario.hostEvent(at + 8s, scenario.entryHost(2 + index), host::Resume);
         }
         return scenario;
     }
