--- a/Libraries/Trace/stated_outcomes.cpp
+++ b/Libraries/Trace/stated_outcomes.cpp
@@ -24,7 +24,7 @@
         for (auto const& item : node) {
             auto const key = item.first.as<std::string>();
             if (!known.contains(key))
-                throw std::runtime_error("unknown key '" + key + "' in " + where);
+                throw std::runtime_error(std::string("unknown key '").append(key).append("' in ").append(where));
         }
     }
 
--- a/Libraries/Trace/stated_outcomes.h
+++ b/Libraries/Trace/stated_outcomes.h
@@ -38,6 +38,7 @@
     std::string statement;
     std::map<std::string, stated_limit> limits;
     std::vector<stated_absence> absences;
+    bool operator==(stated_outcomes const&) const = default;
 
     /// @param path The file.
     /// @return The outcomes; NotFound without the file, InvalidArgument that names file and key for anything
--- a/Services/Daemon/configuration_duty.cpp
+++ b/Services/Daemon/configuration_duty.cpp
@@ -1,10 +1,10 @@
 #include "configuration_duty.h"
 
-#include <Coordination/coordinated_configuration_builder.h>
 #include <Base/error_kind.h>
 #include <Base/hashing.h>
 #include <Configuration/configuration_reader.h>
 #include <Configuration/document_parser.h>
+#include <Coordination/coordinated_configuration_builder.h>
 #include <cstdio>
 #include <fcntl.h>
 #include <filesystem>
--- a/Utilities/Replay/replay_report.cpp
+++ b/Utilities/Replay/replay_report.cpp
@@ -119,10 +119,11 @@
         addMeasure(text, chart, rows, deployment, deployment + ": broken flows (traces with 0 for all are left out)",
             [](replay_outcome const& outcome) { return static_cast<double>(outcome.brokenFlows); });
         for (auto const& service : services) {
-            addMeasure(text, chart, rows, deployment, deployment + ": imbalance of " + service + ", mean over time",
-                [&](replay_outcome const& outcome) {
-                    return meanImbalance(outcome, service, std::chrono::seconds(9));
-                });
+            auto title = deployment;
+            title.append(": imbalance of ").append(service).append(", mean over time");
+            addMeasure(text, chart, rows, deployment, title, [&](replay_outcome const& outcome) {
+                return meanImbalance(outcome, service, std::chrono::seconds(9));
+            });
         }
         if (deployment != "derwent")
             return;
--- a/Utilities/Replay/trace_folder.h
+++ b/Utilities/Replay/trace_folder.h
@@ -19,7 +19,7 @@
     std::string name;
     std::string path;
     stated_outcomes stated;
-    auto operator<=>(stated_trace const&) const = default;
+    bool operator==(stated_trace const&) const = default;
 };
 
 /// @param folder Folder with NAME.trace and NAME.yaml.
