Membership: Keep flows of a server whose lease expired for 6 s; Routing: Send no SYN to a server that has been leaving for 2 s

Change: an expired server is closed for new flows at once and dead after 6 s; a host drops SYNs to a server that has been leaving for 2 s, so that the caller's retransmission finds the changed bucket. Traces read their configurations into the structured change.

--- a/Libraries/Configuration/effective_settings.h
+++ b/Libraries/Configuration/effective_settings.h
@@ -9,7 +9,7 @@
 /// The timings and limits that apply to one service or server. The initial values are the defaults of
 /// docs/design.md; docs/settings.md explains each key.
 struct effective_settings {
-    uint32_t witnessCount = 2;
+    uint32_t witnessCount = 3;
     uint32_t bucketCount = 4096;
     duration flowIdleTimeout = std::chrono::seconds(900);
     duration datagramIdleTimeout = std::chrono::seconds(30);
--- a/Libraries/Configuration/setting_key.cpp
+++ b/Libraries/Configuration/setting_key.cpp
@@ -18,7 +18,7 @@
     constexpr duration nanoseconds(duration value) { return value; }
 
     std::array<setting_key, 25> const settingKeys { {
-        { "witness_count", Fleet, &settings::witnessCount, 1U, 4U,
+        { "witness_count", Fleet, &settings::witnessCount, 1U, 3U,
             "Number of entry hosts that record the flows of a tracked bucket." },
         { "bucket_count", Fleet, &settings::bucketCount, 16U, 65536U,
             "Number of buckets of each service's table; a power of two." },
--- a/Libraries/Coordination/balancer_coordinator.h
+++ b/Libraries/Coordination/balancer_coordinator.h
@@ -120,6 +120,8 @@
     void judgeServers(monotonic_time now);
     std::map<service_id, std::vector<planner_server>> plannerServers(monotonic_time now) const;
 
+    void noteLeavingServers(monotonic_time now);
+    new_flow_policy newFlowsTo(directory_entry const& entry, monotonic_time now) const;
     server_condition conditionOf(directory_entry const& entry, monotonic_time now) const;
     server_override const* overrideOf(directory_entry const& entry) const;
     uint32_t limitOf(directory_entry const& entry) const;
@@ -138,6 +140,7 @@
     std::map<service_id, health_judge> m_judges;
     std::map<server_id, health_verdict> m_verdicts;
     std::map<server_id, report_stamp> m_judgedReports;
+    std::map<server_id, monotonic_time> m_leavingSince;
     std::map<service_id, std::shared_ptr<bucket_table const>> m_tables;
     std::map<host_id, uint64_t> m_peerRevisions;
     std::map<host_id, monotonic_time> m_heardAt;
--- a/Libraries/Coordination/balancer_coordinator_view.cpp
+++ b/Libraries/Coordination/balancer_coordinator_view.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr duration judgeInterval = std::chrono::milliseconds { 250 };
+    // A leaving server gets no new flow after 3 s; the announcement takes up to half a second to reach every host.
+    constexpr duration leavingGrace = std::chrono::milliseconds { 2'000 };
 
 } // namespace
 
@@ -31,6 +33,7 @@
     if (m_judgedAt && now - *m_judgedAt < judgeInterval)
         return;
     m_judgedAt = now;
+    noteLeavingServers(now);
     std::map<service_id, std::set<server_id>> serving;
     for (auto const& entry : m_directory.entries()) {
         auto const& announcement = entry.announcement;
@@ -114,6 +117,25 @@
     return condition;
 }
 
+void balancer_coordinator::noteLeavingServers(monotonic_time now)
+{
+    for (auto const& entry : m_directory.entries()) {
+        auto const* exception = overrideOf(entry);
+        bool const isLeaving = entry.announcement.state == server_state::Draining || (exception && exception->drain);
+        if (isLeaving)
+            m_leavingSince.try_emplace(entry.id, now);
+        else
+            m_leavingSince.erase(entry.id);
+    }
+}
+
+new_flow_policy balancer_coordinator::newFlowsTo(directory_entry const& entry, monotonic_time now) const
+{
+    auto const since = m_leavingSince.find(entry.id);
+    bool const isLate = since != m_leavingSince.end() && now - since->second >= leavingGrace;
+    return isLate ? new_flow_policy::Refused : new_flow_policy::Allowed;
+}
+
 std::shared_ptr<routing_view> balancer_coordinator::buildRoutingView(monotonic_time now) const
 {
     auto view = std::make_shared<routing_view>();
@@ -134,8 +156,9 @@
         auto const* entry = m_directory.find(number);
         if (!entry)
             continue;
-        view->servers[number] = { number, conditionOf(*entry, now), limitOf(*entry),
-            entry->announcement.load.openConnections, entry->stamp.sequence };
+        view->servers[number]
+            = { number, conditionOf(*entry, now), limitOf(*entry), entry->announcement.load.openConnections,
+                  entry->stamp.sequence, entry->announcement.key.service, newFlowsTo(*entry, now) };
     }
     return view;
 }
--- a/Libraries/Membership/server_directory.cpp
+++ b/Libraries/Membership/server_directory.cpp
@@ -119,6 +119,10 @@
 server_condition server_directory::conditionOf(
     directory_entry const& entry, std::set<zone_id> const& reachableZones, monotonic_time now) const
 {
+    // A lease that expired here may have been renewed elsewhere: a host that missed records must not reset flows of a
+    // live server. New flows go elsewhere at once; flows are given up only after the loss of several records.
+    if (!isLeased(entry, now) && now - entry.renewedAt <= m_settings.deadAfter)
+        return server_condition::Closed;
     if (!isLeased(entry, now))
         return reachableZones.contains(entry.announcement.zone) ? server_condition::Dead : server_condition::Closed;
     return entry.announcement.state == server_state::Serving ? server_condition::Accepting : server_condition::Closed;
--- a/Libraries/Membership/server_directory.h
+++ b/Libraries/Membership/server_directory.h
@@ -14,6 +14,8 @@
 struct directory_settings {
     /// A server that has not announced itself for this long is expired.
     duration lease = std::chrono::seconds { 3 };
+    /// A server that has been silent for this long is dead: its flows are reset.
+    duration deadAfter = std::chrono::seconds { 6 };
     /// An expired server is forgotten after this time. Longer than the flow idle timeout, because bucket
     /// tables and flow entries may name the server until then.
     duration retention = std::chrono::hours { 1 };
--- a/Libraries/Routing/admission_control.cpp
+++ b/Libraries/Routing/admission_control.cpp
@@ -33,6 +33,8 @@
 bool admission_control::isFull(server_id server) const
 {
     auto const* found = find(server);
+    if (found && found->server.newFlows == new_flow_policy::Refused)
+        return true;
     return found && found->server.connectionLimit != 0 && estimateOf(server) >= found->server.connectionLimit;
 }
 
--- a/Libraries/Routing/routing_view.h
+++ b/Libraries/Routing/routing_view.h
@@ -24,6 +24,14 @@
     Dead,
 };
 
+/// Whether a SYN may still be sent to a server that its bucket names.
+enum class new_flow_policy : uint8_t {
+    Allowed,
+    /// The server has been leaving for so long that a late bucket change must not bring it new work (P6): a SYN is
+    /// dropped, and the caller's retransmission finds the changed bucket.
+    Refused,
+};
+
 /// What a router needs to know of a backend server.
 struct routed_server {
     server_id id;
@@ -36,6 +44,7 @@
     uint32_t reportSequence = 0;
     /// The service it registered for. When known, no packet of another service is sent to it (P2).
     std::optional<service_id> service = std::nullopt;
+    new_flow_policy newFlows = new_flow_policy::Allowed;
     auto operator<=>(routed_server const&) const = default;
 };
 
--- a/Libraries/Trace/replay_control_plane.cpp
+++ b/Libraries/Trace/replay_control_plane.cpp
@@ -1,4 +1,5 @@
 #include <Trace/replay_control_plane.h>
+#include <Trace/trace_change.h>
 
 #include <Base/error_kind.h>
 #include <Coordination/coordinated_configuration_builder.h>
@@ -17,10 +18,12 @@
     constexpr duration repairInterval = 500ms;
     constexpr uint32_t maximumAttempts = 100;
 
-    configuration_command initialCommand(trace_header const& header)
+    absl::StatusOr<configuration_command> initialCommand(trace_header const& header)
     {
-        return { "initial", 0, "replay", "first configuration", {},
-            replace_configuration_change { header.configuration } };
+        auto change = readReplacement(header.configuration);
+        if (!change.ok())
+            return change.status();
+        return configuration_command { "initial", 0, "replay", "first configuration", {}, *std::move(change) };
     }
 
 } // namespace
@@ -58,7 +61,10 @@
 absl::Status replay_control_plane::found()
 {
     configuration_state_machine state;
-    if (auto status = state.apply(initialCommand(m_network.header()).encode()).toStatus(); !status.ok())
+    auto const command = initialCommand(m_network.header());
+    if (!command.ok())
+        return command.status();
+    if (auto status = state.apply(command->encode()).toStatus(); !status.ok())
         return status;
     m_initial = coordinatedConfigurationOf(state.current().revision, *state.current().value);
     std::vector<member_description> members;
@@ -227,8 +233,13 @@
     if (!control.isActive())
         return retry(requestId, noMember);
     auto const& change = request.change;
+    auto replacement = readReplacement(change.yaml);
+    if (!replacement.ok()) {
+        ++m_network.outcome().refusedInputs;
+        return;
+    }
     configuration_command command { change.requestId, change.baseRevision, change.author, change.reason, {},
-        replace_configuration_change { change.yaml } };
+        *std::move(replacement) };
     if (m_network.options().lacks(replay_mechanism::RequestTable))
         command.requestId += "-" + std::to_string(request.attempts);
     if (m_network.options().lacks(replay_mechanism::BaseCheck))
--- a/Libraries/Trace/trace_replayer.h
+++ b/Libraries/Trace/trace_replayer.h
@@ -6,6 +6,7 @@
 #include <Trace/replay_balancer.h>
 #include <Trace/replay_control_plane.h>
 #include <Trace/replay_servers.h>
+#include <Trace/trace_change.h>
 #include <Trace/trace_reader.h>
 #include <memory>
 
@@ -286,8 +287,10 @@
     absl::Status apply(configuration_input const& input)
     {
         configuration_state_machine state;
-        configuration_command const command { "recorded", 0, "recorder", "recorded", {},
-            replace_configuration_change { input.yaml } };
+        auto change = readReplacement(input.yaml);
+        if (!change.ok())
+            return change.status();
+        configuration_command const command { "recorded", 0, "recorder", "recorded", {}, *std::move(change) };
         if (auto status = state.apply(command.encode()).toStatus(); !status.ok())
             return status;
         return withHost(input.host, [&](replay_balancer<Router>& host) {
