Benchmarks: Add benchmark_slopes, first version

docs/CAPACITY.md needs the growth of memory, time and bytes against the input of each part. Checked by syntax only so far; no run yet.

--- /dev/null
+++ b/Utilities/Benchmarks/Slopes/log_simulation.cpp
@@ -0,0 +1,156 @@
+#include "log_simulation.h"
+
+#include "processor_time.h"
+#include <Base/error_kind.h>
+
+namespace bilberryyard {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration tickTime = 10ms;
+    constexpr int electionTicks = 1'000;
+
+} // namespace
+
+absl::StatusOr<log_simulation> log_simulation::create(uint32_t voters)
+{
+    log_simulation result;
+    std::vector<member_description> members;
+    for (uint32_t id = 1; id <= voters; ++id)
+        members.push_back({ member_id { id }, member_role::Voter, "10.0.0." + std::to_string(id) + ":7000" });
+    auto const founding = cluster_configuration::create(std::move(members));
+    if (!founding.ok())
+        return founding.status();
+    for (uint32_t id = 1; id <= voters; ++id) {
+        consensus_settings settings;
+        // Member 1 times out first.
+        if (id > 1) {
+            settings.electionTimeoutMinimum = 5s;
+            settings.electionTimeoutMaximum = 6s;
+        }
+        restored_state restored;
+        restored.snapshot = std::make_shared<log_snapshot const>(log_snapshot { 0, 0, *founding, {} });
+        auto log = consensus_member<>::create({ 1, member_id { id } }, settings, std::move(restored), id, result.m_now);
+        if (!log.ok())
+            return log.status();
+        result.m_members.push_back({ *std::move(log), configuration_state_machine(), {} });
+    }
+    return result;
+}
+
+absl::Status log_simulation::perform(uint32_t index, consensus_action const& action)
+{
+    auto& self = m_members[index];
+    if (auto const* sent = std::get_if<send_message>(&action)) {
+        m_outbox.push_back(m_codec.encode({ host_id { index + 1 }, sent->message }));
+        m_receivers.push_back(sent->message.receiver.value - 1);
+        (index == 0 ? m_cost.leaderBytes : m_cost.followerBytes) += m_outbox.back().size();
+    } else if (auto const* persist = std::get_if<persist_request>(&action)) {
+        self.log.persistCompleted(persist->sequence, m_now);
+    } else if (auto const* committed = std::get_if<apply_entries>(&action)) {
+        for (auto const& entry : committed->entries) {
+            if (entry.kind != entry_kind::Application)
+                continue;
+            if (auto const result = self.state.apply(entry.payload); !result.isAccepted())
+                return result.toStatus();
+        }
+    } else if (auto const* wanted = std::get_if<take_snapshot>(&action)) {
+        return self.log.snapshotTaken(wanted->index, self.state.snapshot(), m_now);
+    } else if (auto const* answered = std::get_if<proposal_answer>(&action)) {
+        m_answered = answered->token;
+        m_refusal = answered->status;
+    }
+    return absl::OkStatus();
+}
+
+absl::Status log_simulation::runMember(uint32_t index)
+{
+    auto& self = m_members[index];
+    auto const begin = processorSeconds();
+    for (; !self.inbox.empty(); self.inbox.pop_front()) {
+        auto const message = m_codec.decode(self.inbox.front());
+        if (!message.ok())
+            return message.status();
+        self.log.receive(std::get<consensus_message>(message->body), m_now);
+    }
+    self.log.tick(m_now);
+    for (auto actions = self.log.takeActions(m_now); !actions.empty(); actions = self.log.takeActions(m_now)) {
+        for (auto const& action : actions) {
+            if (auto status = perform(index, action); !status.ok())
+                return status;
+        }
+    }
+    (index == 0 ? m_cost.leaderSeconds : m_cost.followerSeconds) += processorSeconds() - begin;
+    for (size_t sent = 0; sent < m_outbox.size(); ++sent)
+        m_members[m_receivers[sent]].inbox.push_back(std::move(m_outbox[sent]));
+    m_outbox.clear();
+    m_receivers.clear();
+    return absl::OkStatus();
+}
+
+absl::Status log_simulation::settle()
+{
+    bool busy = true;
+    while (busy) {
+        for (uint32_t index = 0; index < m_members.size(); ++index) {
+            if (auto status = runMember(index); !status.ok())
+                return status;
+        }
+        busy = false;
+        for (auto const& value : m_members)
+            busy = busy || !value.inbox.empty();
+    }
+    return absl::OkStatus();
+}
+
+absl::Status log_simulation::idle(duration time)
+{
+    for (auto const end = m_now + time; m_now < end;) {
+        m_now += tickTime;
+        if (auto status = settle(); !status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+absl::Status log_simulation::elect()
+{
+    for (int tick = 0; tick < electionTicks; ++tick) {
+        if (m_members.front().log.role() == consensus_role::Leader)
+            return idle(1s);
+        if (auto status = idle(tickTime); !status.ok())
+            return status;
+    }
+    return makeError(error_kind::DeadlineExceeded, "member 1 was not elected");
+}
+
+absl::Status log_simulation::change(configuration_command const& command)
+{
+    auto const begin = processorSeconds();
+    m_members.front().log.propose(++m_token, command.encode(), m_now);
+    m_cost.leaderSeconds += processorSeconds() - begin;
+    auto const revision = leaderState().current().revision;
+    // The followers learn of the commit with the next heartbeat.
+    if (auto status = idle(200ms); !status.ok())
+        return status;
+    if (m_answered != m_token || !m_refusal.ok())
+        return m_refusal.ok() ? makeError(error_kind::DeadlineExceeded, "the change was not answered") : m_refusal;
+    for (auto const& value : m_members) {
+        if (value.state.current().revision != revision + 1)
+            return makeError(error_kind::Internal, "a member has not applied the change");
+    }
+    return absl::OkStatus();
+}
+
+log_cost log_simulation::cost() const
+{
+    auto result = m_cost;
+    auto const followers = m_members.size() - 1;
+    result.followerSeconds /= static_cast<double>(followers);
+    result.followerBytes /= followers;
+    return result;
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Utilities/Benchmarks/Slopes/measure_coordination.cpp
@@ -0,0 +1,65 @@
+#include "measurements.h"
+#include "pool_simulation.h"
+#include "slope_table.h"
+
+#include <chrono>
+
+namespace bilberryyard {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration warmUp = 12s;
+    constexpr duration measuredTime = 10s;
+
+    absl::Status addPool(slope_table& table, double size, pool_shape const& shape)
+    {
+        auto pool = pool_simulation::create(shape);
+        if (!pool.ok())
+            return pool.status();
+        if (auto const status = pool->run(warmUp); !status.ok())
+            return status;
+        auto const cost = pool->measure(measuredTime);
+        if (!cost.ok())
+            return cost.status();
+        table.add(size, "% of a core, planner", cost->plannerShare * 100);
+        table.add(size, "% of a core, other host", cost->otherShare * 100);
+        table.add(size, "bytes/s sent, planner", cost->plannerBytesSent);
+        table.add(size, "bytes/s sent, other host", cost->otherBytesSent);
+        table.add(size, "bytes/s received, mean host", cost->bytesReceived);
+        table.add(size, "messages/s sent, mean host", cost->messagesSent);
+        table.add(size, "heartbeat bytes/s, mean host", cost->bytesByKind[0]);
+        table.add(size, "record bytes/s, mean host", cost->bytesByKind[1]);
+        table.add(size, "evidence bytes/s, mean host", cost->bytesByKind[2]);
+        table.add(size, "table bytes/s, mean host", cost->bytesByKind[3]);
+        table.add(size, "bytes held by a coordinator", cost->memoryBytes);
+        table.add(size, "all buckets stable at the end (1 = yes)", pool->isSettled() ? 1 : 0);
+        return absl::OkStatus();
+    }
+
+    absl::Status measureAgainst(char const* name, uint32_t pool_shape::*member, std::vector<uint32_t> const& sizes)
+    {
+        slope_table table("balancer_coordinator, else 12 hosts, 84 servers, 13 services", name);
+        for (auto const size : sizes) {
+            pool_shape shape;
+            shape.*member = size;
+            if (auto const status = addPool(table, size, shape); !status.ok())
+                return status;
+        }
+        table.print();
+        return absl::OkStatus();
+    }
+
+} // namespace
+
+absl::Status measureCoordination()
+{
+    if (auto const status = measureAgainst("hosts", &pool_shape::hosts, { 4, 8, 12, 16 }); !status.ok())
+        return status;
+    if (auto const status = measureAgainst("servers", &pool_shape::servers, { 28, 56, 84, 168 }); !status.ok())
+        return status;
+    return measureAgainst("services", &pool_shape::services, { 4, 8, 13, 26 });
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Utilities/Benchmarks/Slopes/memory_packet_io.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <Packet/packet_io.h>
+#include <algorithm>
+#include <vector>
+
+namespace bilberryyard {
+
+/// A packet I/O without sockets: receives prepared packets and counts what is sent.
+class memory_packet_io {
+public:
+    /// @param packets the packets to receive, in turn, once
+    explicit memory_packet_io(std::vector<std::vector<uint8_t>> packets)
+        : m_packets(std::move(packets))
+    {
+    }
+
+    /// Starts again with the first packet.
+    void rewind() { m_next = 0; }
+
+    size_t receive(packet_batch& batch)
+    {
+        batch.clear();
+        for (; m_next < m_packets.size() && batch.size() < batch.slotCount(); ++m_next) {
+            auto const& packet = m_packets[m_next];
+            std::copy(packet.begin(), packet.end(), batch.receiveSpace(batch.size()).begin());
+            batch.append(packet.size(), {});
+        }
+        return batch.size();
+    }
+
+    size_t send(std::span<outgoing_packet const> packets)
+    {
+        m_counters.sentPackets += packets.size();
+        return packets.size();
+    }
+
+    bool waitReadable(std::chrono::milliseconds) const { return m_next < m_packets.size(); }
+    packet_io_counters counters() const { return m_counters; }
+
+private:
+    std::vector<std::vector<uint8_t>> m_packets;
+    size_t m_next = 0;
+    packet_io_counters m_counters;
+};
+
+static_assert(packet_io<memory_packet_io>);
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Utilities/Benchmarks/Slopes/pool_simulation.cpp
@@ -0,0 +1,187 @@
+#include "pool_simulation.h"
+
+#include "allocation_counter.h"
+#include "processor_time.h"
+
+namespace bilberryyard {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // The daemon's coordination thread waits at most this long for a message.
+    constexpr duration stepTime = 10ms;
+    constexpr uint64_t stepsPerSecond = 1s / stepTime;
+
+} // namespace
+
+absl::StatusOr<pool_simulation> pool_simulation::create(pool_shape const& shape)
+{
+    pool_simulation result(shape);
+    result.m_memoryBefore = allocation_counter::heldBytes();
+    coordinated_configuration configuration;
+    configuration.revision = 1;
+    // Short, so that the buckets settle within the run; it changes no steady-state traffic.
+    configuration.flowIdleTimeout = 2s;
+    configuration.planner.flowIdleTimeout = 2s;
+    configuration.planner.bytesPerSecond = 4'096 * 2 / 5;
+    configuration.zones["a"] = zone_id { 1 };
+    for (uint32_t number = 1; number <= shape.services; ++number) {
+        routed_service service;
+        service.id = { number };
+        service.name = "service" + std::to_string(number);
+        service.addresses = { ip_address::fromIpv4(0xC6120000U + number) };
+        service.port = 80;
+        configuration.services.push_back(std::move(service));
+    }
+    coordinator_settings settings;
+    settings.zone = { 1 };
+    settings.planner = configuration.planner;
+    for (uint32_t number = 1; number <= shape.hosts; ++number)
+        settings.entryHosts.insert(host_id { number });
+    for (uint32_t number = 1; number <= shape.hosts; ++number) {
+        settings.self = { host_id { number }, 1 };
+        auto coordinator = balancer_coordinator::create(settings, result.m_now);
+        if (!coordinator.ok())
+            return coordinator.status();
+        if (auto const status = coordinator->configure(configuration, result.m_now); !status.ok())
+            return status;
+        result.m_hosts.push_back({ *std::move(coordinator), {} });
+    }
+    return result;
+}
+
+absl::Status pool_simulation::announce()
+{
+    // The announcements of a second are spread over its steps.
+    for (uint32_t server = 0; server < m_shape.servers; ++server) {
+        if (server % stepsPerSecond != m_steps % stepsPerSecond)
+            continue;
+        server_announcement announcement;
+        announcement.key
+            = { service_id { server % m_shape.services + 1 }, ip_address::fromIpv4(0x0A400000U + server), 6'080 };
+        announcement.zone = { 1 };
+        announcement.state = server < m_draining ? server_state::Draining : server_state::Serving;
+        announcement.slots = 2;
+        announcement.connectionLimit = 4'000;
+        announcement.load = { 1, 0, static_cast<uint32_t>(2'400 + (m_steps / stepsPerSecond + server) % 50) };
+        announcement.incarnation = 1;
+        auto& receiver = m_hosts[server % m_shape.hosts];
+        auto const begin = processorSeconds();
+        auto const id = receiver.coordinator.announce(announcement, m_now);
+        receiver.processorTime += processorSeconds() - begin;
+        if (!id.ok())
+            return id.status();
+    }
+    return absl::OkStatus();
+}
+
+void pool_simulation::answer(host& value, flow_command const& command)
+{
+    // No flow is open: every bucket that is asked about has settled, and every transfer is complete.
+    if (auto const* settle = std::get_if<settle_command>(&command))
+        value.coordinator.receive(settle_result { settle->service, settle->stamp, settle->buckets }, m_now);
+    if (auto const* exported = std::get_if<export_command>(&command)) {
+        export_result result { *exported, {} };
+        result.batch.done = true;
+        value.coordinator.receive(result, m_now);
+    }
+}
+
+absl::Status pool_simulation::stepHost(host& value)
+{
+    auto const begin = processorSeconds();
+    for (; !value.inbox.empty(); value.inbox.pop_front()) {
+        value.bytesReceived += value.inbox.front().size();
+        auto const message = m_codec.decode(value.inbox.front());
+        if (!message.ok())
+            return message.status();
+        if (auto const status = value.coordinator.receive(*message, m_now); !status.ok())
+            return status;
+    }
+    value.coordinator.step(m_now);
+    for (auto const& command : value.coordinator.takeCommands())
+        answer(value, command);
+    value.coordinator.takeView();
+    std::vector<std::pair<host_id, std::string>> sent;
+    for (auto const& message : value.coordinator.takeMessages()) {
+        sent.emplace_back(message.receiver, m_codec.encode(message.message));
+        m_bytesByKind[message.message.body.index()] += sent.back().second.size();
+    }
+    value.processorTime += processorSeconds() - begin;
+    for (auto& [receiver, bytes] : sent) {
+        value.bytesSent += bytes.size();
+        ++value.messagesSent;
+        m_hosts[receiver.value - 1].inbox.push_back(std::move(bytes));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status pool_simulation::run(duration time)
+{
+    for (auto const end = m_now + time; m_now < end; m_now += stepTime, ++m_steps) {
+        if (auto const status = announce(); !status.ok())
+            return status;
+        if (m_steps % stepsPerSecond == 0) {
+            for (uint32_t index = 0; index < m_shape.hosts; ++index) {
+                evidence_result evidence;
+                for (auto const& entry : m_hosts[index].coordinator.directory().owners()) {
+                    if (evidence.evidence.size() < 3)
+                        evidence.evidence.push_back({ entry.first, 1, 0, 1 });
+                }
+                m_hosts[index].coordinator.receive(evidence, m_now);
+            }
+        }
+        for (auto& value : m_hosts) {
+            if (auto const status = stepHost(value); !status.ok())
+                return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<pool_cost> pool_simulation::measure(duration time)
+{
+    for (auto& value : m_hosts) {
+        value.processorTime = 0;
+        value.bytesSent = 0;
+        value.bytesReceived = 0;
+        value.messagesSent = 0;
+    }
+    m_bytesByKind = {};
+    if (auto const status = run(time); !status.ok())
+        return status;
+    auto const seconds = std::chrono::duration<double>(time).count();
+    auto const others = static_cast<double>(m_hosts.size() - 1);
+    auto const planner = m_hosts.front().coordinator.planner();
+    pool_cost cost;
+    for (uint32_t index = 0; index < m_shape.hosts; ++index) {
+        auto const& value = m_hosts[index];
+        bool const isPlanner = planner && planner->host.value == index + 1;
+        auto const divisor = isPlanner ? seconds : seconds * others;
+        (isPlanner ? cost.plannerShare : cost.otherShare) += value.processorTime / divisor;
+        (isPlanner ? cost.plannerBytesSent : cost.otherBytesSent) += static_cast<double>(value.bytesSent) / divisor;
+        cost.bytesReceived += static_cast<double>(value.bytesReceived) / seconds / m_shape.hosts;
+        cost.messagesSent += static_cast<double>(value.messagesSent) / seconds / m_shape.hosts;
+    }
+    for (size_t kind = 0; kind < m_bytesByKind.size(); ++kind)
+        cost.bytesByKind[kind] = static_cast<double>(m_bytesByKind[kind]) / seconds / m_shape.hosts;
+    cost.memoryBytes = static_cast<double>(allocation_counter::heldBytes() - m_memoryBefore) / m_shape.hosts;
+    return cost;
+}
+
+bool pool_simulation::isSettled() const
+{
+    auto const& tables = m_hosts.front().coordinator.tables();
+    if (tables.size() != m_shape.services)
+        return false;
+    for (auto const& [service, table] : tables) {
+        for (uint32_t index = 0; index < table->bucketCount(); ++index) {
+            if (table->at(index).phase != bucket_phase::Stable || table->at(index).current == noServer)
+                return false;
+        }
+    }
+    return true;
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Utilities/Benchmarks/Slopes/pool_simulation.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <Coordination/balancer_coordinator.h>
+#include <CoordinationCodec/coordination_codec.h>
+#include <absl/status/statusor.h>
+#include <array>
+#include <deque>
+#include <string>
+
+namespace bilberryyard {
+
+/// Shape of a pool: the entry hosts that the fabric sprays one set of services over.
+struct pool_shape {
+    uint32_t hosts = 12;
+    uint32_t servers = 84;
+    uint32_t services = 13;
+};
+
+/// What one entry host spends in a second of simulated time.
+struct pool_cost {
+    /// Processor time of step, receive, encode and decode, as a share of one core.
+    double otherShare = 0;
+    double plannerShare = 0;
+    double otherBytesSent = 0;
+    double plannerBytesSent = 0;
+    double bytesReceived = 0;
+    double messagesSent = 0;
+    /// Bytes that the whole pool sent, by the kind of the message body.
+    std::array<double, std::variant_size_v<coordination_message::body_type>> bytesByKind {};
+    /// Memory of one coordinator.
+    double memoryBytes = 0;
+};
+
+/// Coordinators joined by an in-memory queue, with a simulated clock. Every server announces itself each second to
+/// one fixed host; every host reports the evidence of three servers each second.
+class pool_simulation {
+public:
+    static absl::StatusOr<pool_simulation> create(pool_shape const& shape);
+
+    /// Runs all hosts.
+    /// @param time simulated time
+    absl::Status run(duration time);
+
+    /// Makes the servers of a range drain, as in a rolling restart.
+    void drain(uint32_t servers) { m_draining = servers; }
+
+    /// Runs all hosts and gives the mean cost.
+    absl::StatusOr<pool_cost> measure(duration time);
+
+    /// @return whether every bucket of every service is stable at the first host
+    bool isSettled() const;
+
+private:
+    struct host {
+        balancer_coordinator coordinator;
+        std::deque<std::string> inbox;
+        double processorTime = 0;
+        uint64_t bytesSent = 0;
+        uint64_t bytesReceived = 0;
+        uint64_t messagesSent = 0;
+    };
+
+    explicit pool_simulation(pool_shape const& shape)
+        : m_shape(shape)
+    {
+    }
+
+    absl::Status announce();
+    absl::Status stepHost(host& value);
+    void answer(host& value, flow_command const& command);
+
+    pool_shape m_shape;
+    coordination_codec m_codec { 1 };
+    monotonic_time m_now { std::chrono::hours { 1 } };
+    uint64_t m_steps = 0;
+    uint32_t m_draining = 0;
+    std::vector<host> m_hosts;
+    std::array<uint64_t, std::variant_size_v<coordination_message::body_type>> m_bytesByKind {};
+    size_t m_memoryBefore = 0;
+};
+
+} // namespace bilberryyard
