Benchmarks: Let any member lead in the slope measurement of the log

A fixed leader was not elected in every run (member 1 was refused while the others kept their longer timeouts).

--- a/Utilities/Benchmarks/Slopes/log_simulation.cpp
+++ b/Utilities/Benchmarks/Slopes/log_simulation.cpp
@@ -24,15 +24,9 @@
     if (!founding.ok())
         return founding.status();
     for (uint32_t id = 1; id <= voters; ++id) {
-        consensus_settings settings;
-        // Member 1 times out first.
-        if (id > 1) {
-            settings.electionTimeoutMinimum = 5s;
-            settings.electionTimeoutMaximum = 6s;
-        }
         restored_state restored;
         restored.snapshot = std::make_shared<log_snapshot const>(log_snapshot { 0, 0, *founding, {} });
-        auto log = consensus_member<>::create({ 1, member_id { id } }, settings, std::move(restored), id, result.m_now);
+        auto log = consensus_member<>::create({ 1, member_id { id } }, {}, std::move(restored), id, result.m_now);
         if (!log.ok())
             return log.status();
         result.m_members.push_back({ *std::move(log), configuration_state_machine(), {} });
@@ -46,7 +40,7 @@
     if (auto const* sent = std::get_if<send_message>(&action)) {
         m_outbox.push_back(m_codec.encode({ host_id { index + 1 }, sent->message }));
         m_receivers.push_back(sent->message.receiver.value - 1);
-        (index == 0 ? m_cost.leaderBytes : m_cost.followerBytes) += m_outbox.back().size();
+        (index == m_leader ? m_cost.leaderBytes : m_cost.followerBytes) += m_outbox.back().size();
     } else if (auto const* persist = std::get_if<persist_request>(&action)) {
         self.log.persistCompleted(persist->sequence, m_now);
     } else if (auto const* committed = std::get_if<apply_entries>(&action)) {
@@ -82,7 +76,7 @@
                 return status;
         }
     }
-    (index == 0 ? m_cost.leaderSeconds : m_cost.followerSeconds) += processorSeconds() - begin;
+    (index == m_leader ? m_cost.leaderSeconds : m_cost.followerSeconds) += processorSeconds() - begin;
     for (size_t sent = 0; sent < m_outbox.size(); ++sent)
         m_members[m_receivers[sent]].inbox.push_back(std::move(m_outbox[sent]));
     m_outbox.clear();
@@ -118,18 +112,22 @@
 absl::Status log_simulation::elect()
 {
     for (int tick = 0; tick < electionTicks; ++tick) {
-        if (m_members.front().log.role() == consensus_role::Leader)
-            return idle(1s);
+        for (uint32_t index = 0; index < m_members.size(); ++index) {
+            if (m_members[index].log.role() == consensus_role::Leader) {
+                m_leader = index;
+                return idle(1s);
+            }
+        }
         if (auto status = idle(tickTime); !status.ok())
             return status;
     }
-    return makeError(error_kind::DeadlineExceeded, "member 1 was not elected");
+    return makeError(error_kind::DeadlineExceeded, "no member was elected");
 }
 
 absl::Status log_simulation::change(configuration_command const& command)
 {
     auto const begin = processorSeconds();
-    m_members.front().log.propose(++m_token, command.encode(), m_now);
+    m_members[m_leader].log.propose(++m_token, command.encode(), m_now);
     m_cost.leaderSeconds += processorSeconds() - begin;
     auto const revision = leaderState().current().revision;
     // The followers learn of the commit with the next heartbeat.
--- a/Utilities/Benchmarks/Slopes/log_simulation.h
+++ b/Utilities/Benchmarks/Slopes/log_simulation.h
@@ -18,14 +18,14 @@
     uint64_t followerBytes = 0;
 };
 
-/// Members of the replicated log joined by an in-memory queue, with a simulated clock. Member 1 leads. Storage
+/// Members of the replicated log joined by an in-memory queue, with a simulated clock. Storage
 /// completes at once and costs nothing, so the times exclude the sync of the log.
 class log_simulation {
 public:
     /// @param voters the number of members
     static absl::StatusOr<log_simulation> create(uint32_t voters);
 
-    /// Elects member 1.
+    /// Waits until a member leads.
     absl::Status elect();
 
     /// Replicates one change and applies it at every member.
@@ -38,7 +38,7 @@
     /// @return the totals; those of the followers are means over the followers
     log_cost cost() const;
 
-    configuration_state_machine const& leaderState() const { return m_members.front().state; }
+    configuration_state_machine const& leaderState() const { return m_members[m_leader].state; }
 
 private:
     struct member {
@@ -56,6 +56,7 @@
     std::vector<member> m_members;
     std::vector<std::string> m_outbox;
     std::vector<uint32_t> m_receivers;
+    uint32_t m_leader = 0;
     uint64_t m_answered = 0;
     uint64_t m_token = 0;
     absl::Status m_refusal;
--- a/Utilities/Benchmarks/Slopes/pool_simulation.cpp
+++ b/Utilities/Benchmarks/Slopes/pool_simulation.cpp
@@ -10,8 +10,8 @@
     using namespace std::chrono_literals;
 
     // The daemon's coordination thread waits at most this long for a message.
-    constexpr duration stepTime = 10ms;
-    constexpr uint64_t stepsPerSecond = 1s / stepTime;
+    constexpr duration daemonStep = 10ms;
+    constexpr duration longStep = 100ms;
 
 } // namespace
 
@@ -32,6 +32,7 @@
         service.name = "service" + std::to_string(number);
         service.addresses = { ip_address::fromIpv4(0xC6120000U + number) };
         service.port = 80;
+        service.bucketCount = shape.bucketCount;
         configuration.services.push_back(std::move(service));
     }
     coordinator_settings settings;
@@ -51,20 +52,22 @@
     return result;
 }
 
-absl::Status pool_simulation::announce()
+absl::Status pool_simulation::announce(duration stepTime)
 {
     // The announcements of a second are spread over its steps.
     for (uint32_t server = 0; server < m_shape.servers; ++server) {
-        if (server % stepsPerSecond != m_steps % stepsPerSecond)
+        auto const due = 1s * (server % 10) / 10;
+        auto const phase = m_now.time_since_epoch() % 1s;
+        if (phase < due || phase >= due + stepTime)
             continue;
         server_announcement announcement;
         announcement.key
             = { service_id { server % m_shape.services + 1 }, ip_address::fromIpv4(0x0A400000U + server), 6'080 };
         announcement.zone = { 1 };
-        announcement.state = server < m_draining ? server_state::Draining : server_state::Serving;
+        announcement.state = server_state::Serving;
         announcement.slots = 2;
         announcement.connectionLimit = 4'000;
-        announcement.load = { 1, 0, static_cast<uint32_t>(2'400 + (m_steps / stepsPerSecond + server) % 50) };
+        announcement.load = { 1, 0, static_cast<uint32_t>(2'400 + (m_now.time_since_epoch() / 1s + server) % 50) };
         announcement.incarnation = 1;
         auto& receiver = m_hosts[server % m_shape.hosts];
         auto const begin = processorSeconds();
@@ -117,21 +120,25 @@
     return absl::OkStatus();
 }
 
-absl::Status pool_simulation::run(duration time)
+void pool_simulation::reportEvidence()
 {
-    for (auto const end = m_now + time; m_now < end; m_now += stepTime, ++m_steps) {
-        if (auto const status = announce(); !status.ok())
-            return status;
-        if (m_steps % stepsPerSecond == 0) {
-            for (uint32_t index = 0; index < m_shape.hosts; ++index) {
-                evidence_result evidence;
-                for (auto const& entry : m_hosts[index].coordinator.directory().owners()) {
-                    if (evidence.evidence.size() < 3)
-                        evidence.evidence.push_back({ entry.first, 1, 0, 1 });
-                }
-                m_hosts[index].coordinator.receive(evidence, m_now);
-            }
+    for (auto& value : m_hosts) {
+        evidence_result evidence;
+        for (auto const& entry : value.coordinator.directory().owners()) {
+            if (evidence.evidence.size() < 3)
+                evidence.evidence.push_back({ entry.first, 1, 0, 1 });
         }
+        value.coordinator.receive(evidence, m_now);
+    }
+}
+
+absl::Status pool_simulation::run(duration time, duration stepTime)
+{
+    for (auto const end = m_now + time; m_now < end; m_now += stepTime) {
+        if (auto const status = announce(stepTime); !status.ok())
+            return status;
+        if (m_now.time_since_epoch() % 1s < stepTime)
+            reportEvidence();
         for (auto& value : m_hosts) {
             if (auto const status = stepHost(value); !status.ok())
                 return status;
@@ -140,6 +147,16 @@
     return absl::OkStatus();
 }
 
+absl::StatusOr<duration> pool_simulation::settle(duration limit)
+{
+    auto const start = m_now;
+    while (m_now - start < limit && !isSettled()) {
+        if (auto const status = run(1s, longStep); !status.ok())
+            return status;
+    }
+    return m_now - start;
+}
+
 absl::StatusOr<pool_cost> pool_simulation::measure(duration time)
 {
     for (auto& value : m_hosts) {
@@ -149,7 +166,7 @@
         value.messagesSent = 0;
     }
     m_bytesByKind = {};
-    if (auto const status = run(time); !status.ok())
+    if (auto const status = run(time, daemonStep); !status.ok())
         return status;
     auto const seconds = std::chrono::duration<double>(time).count();
     auto const others = static_cast<double>(m_hosts.size() - 1);
--- a/Utilities/Benchmarks/Slopes/pool_simulation.h
+++ b/Utilities/Benchmarks/Slopes/pool_simulation.h
@@ -14,6 +14,7 @@
     uint32_t hosts = 12;
     uint32_t servers = 84;
     uint32_t services = 13;
+    uint32_t bucketCount = 512;
 };
 
 /// What one entry host spends in a second of simulated time.
@@ -39,10 +40,12 @@
 
     /// Runs all hosts.
     /// @param time simulated time
-    absl::Status run(duration time);
+    /// @param stepTime simulated time between two steps of a host
+    absl::Status run(duration time, duration stepTime);
 
-    /// Makes the servers of a range drain, as in a rolling restart.
-    void drain(uint32_t servers) { m_draining = servers; }
+    /// Runs all hosts in long steps until every bucket is stable.
+    /// @return the simulated time, or the limit when it passed first
+    absl::StatusOr<duration> settle(duration limit);
 
     /// Runs all hosts and gives the mean cost.
     absl::StatusOr<pool_cost> measure(duration time);
@@ -65,15 +68,14 @@
     {
     }
 
-    absl::Status announce();
+    absl::Status announce(duration stepTime);
+    void reportEvidence();
     absl::Status stepHost(host& value);
     void answer(host& value, flow_command const& command);
 
     pool_shape m_shape;
     coordination_codec m_codec { 1 };
     monotonic_time m_now { std::chrono::hours { 1 } };
-    uint64_t m_steps = 0;
-    uint32_t m_draining = 0;
     std::vector<host> m_hosts;
     std::array<uint64_t, std::variant_size_v<coordination_message::body_type>> m_bytesByKind {};
     size_t m_memoryBefore = 0;
