--- a/Utilities/Benchmarks/Slopes/measure_coordination.cpp
+++ b/Utilities/Benchmarks/Slopes/measure_coordination.cpp
@@ -52,7 +52,7 @@
         for (auto const size : sizes) {
             pool_shape shape;
             shape.*member = size;
-            if (auto const status = addPool(table, size, shape); !status.ok())
+            if (auto status = addPool(table, size, shape); !status.ok())
                 return status;
         }
         table.print();
@@ -64,7 +64,7 @@
     {
         slope_table table("balancer_coordinator, pools with 7 servers and 1.1 services a host, 512 buckets", "hosts");
         for (uint32_t const hosts : { 4U, 8U, 12U, 16U }) {
-            if (auto const status = addPool(table, hosts, { hosts, hosts * 7, (hosts * 11 + 5) / 10 }); !status.ok())
+            if (auto status = addPool(table, hosts, { hosts, hosts * 7, (hosts * 11 + 5) / 10 }); !status.ok())
                 return status;
         }
         table.print();
@@ -75,13 +75,13 @@
 
 absl::Status measureCoordination()
 {
-    if (auto const status = measureWholePools(); !status.ok())
+    if (auto status = measureWholePools(); !status.ok())
         return status;
-    if (auto const status = measureAgainst("hosts", &pool_shape::hosts, { 4, 8, 12, 16 }); !status.ok())
+    if (auto status = measureAgainst("hosts", &pool_shape::hosts, { 4, 8, 12, 16 }); !status.ok())
         return status;
-    if (auto const status = measureAgainst("servers", &pool_shape::servers, { 28, 56, 84, 168 }); !status.ok())
+    if (auto status = measureAgainst("servers", &pool_shape::servers, { 28, 56, 84, 168 }); !status.ok())
         return status;
-    if (auto const status = measureAgainst("services", &pool_shape::services, { 4, 8, 13, 20 }); !status.ok())
+    if (auto status = measureAgainst("services", &pool_shape::services, { 4, 8, 13, 20 }); !status.ok())
         return status;
     return measureAgainst("buckets a service", &pool_shape::bucketCount, { 256, 512, 1'024, 2'048 });
 }
--- a/Utilities/Benchmarks/Slopes/pool_simulation.cpp
+++ b/Utilities/Benchmarks/Slopes/pool_simulation.cpp
@@ -41,7 +41,7 @@
         auto coordinator = balancer_coordinator::create(settings, result.m_now);
         if (!coordinator.ok())
             return coordinator.status();
-        if (auto const status = coordinator->configure(configuration, result.m_now); !status.ok())
+        if (auto status = coordinator->configure(configuration, result.m_now); !status.ok())
             return status;
         result.m_hosts.push_back({ *std::move(coordinator), {} });
     }
@@ -95,7 +95,7 @@
         auto const message = m_codec.decode(value.inbox.front());
         if (!message.ok())
             return message.status();
-        if (auto const status = value.coordinator.receive(*message, m_now); !status.ok())
+        if (auto status = value.coordinator.receive(*message, m_now); !status.ok())
             return status;
     }
     value.coordinator.step(m_now);
@@ -131,12 +131,12 @@
 absl::Status pool_simulation::run(duration time, duration stepTime)
 {
     for (auto const end = m_now + time; m_now < end; m_now += stepTime) {
-        if (auto const status = announce(stepTime); !status.ok())
+        if (auto status = announce(stepTime); !status.ok())
             return status;
         if (m_now.time_since_epoch() % 1s < stepTime)
             reportEvidence();
         for (auto& value : m_hosts) {
-            if (auto const status = stepHost(value); !status.ok())
+            if (auto status = stepHost(value); !status.ok())
                 return status;
         }
     }
@@ -147,7 +147,7 @@
 {
     auto const start = m_now;
     while (m_now - start < limit && !isSettled()) {
-        if (auto const status = run(1s, longStep); !status.ok())
+        if (auto status = run(1s, longStep); !status.ok())
             return status;
     }
     return m_now - start;
@@ -162,7 +162,7 @@
         value.messagesSent = 0;
     }
     m_bytesByKind = {};
-    if (auto const status = run(time, stepTime); !status.ok())
+    if (auto status = run(time, stepTime); !status.ok())
         return status;
     auto const seconds = std::chrono::duration<double>(time).count();
     auto const others = static_cast<double>(m_hosts.size() - 1);
--- a/Utilities/Benchmarks/Slopes/sample_view.cpp
+++ b/Utilities/Benchmarks/Slopes/sample_view.cpp
@@ -37,7 +37,7 @@
 
 std::shared_ptr<routing_view> makeSampleView(sample_shape const& shape)
 {
-    auto const view = std::make_shared<routing_view>();
+    auto view = std::make_shared<routing_view>();
     view->self = { host_id { 1 }, 1 };
     view->peers = { { host_id { 2 }, 1 } };
     view->hashSeed = 11;
