--- /dev/null
+++ b/Tests/Coordination/test_balancer_coordinator.cpp
@@ -0,0 +1,302 @@
+#include "coordinator_cluster.h"
+#include <Base/error_kind.h>
+#include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bilberryyard;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr service_id orders { 1 };
+constexpr uint32_t orderServers = 14;
+constexpr uint32_t galleryServers = 4;
+
+void addServers(coordinator_cluster& cluster)
+{
+    for (uint32_t number = 1; number <= orderServers; ++number)
+        cluster.addServer(1, number);
+    for (uint32_t number = 1; number <= galleryServers; ++number)
+        cluster.addServer(2, number);
+}
+
+// A running deployment with its cold starts over.
+std::unique_ptr<coordinator_cluster> settledCluster(uint32_t hosts = 5, uint32_t buckets = 256)
+{
+    auto cluster = std::make_unique<coordinator_cluster>(hosts, buckets);
+    cluster->startAll();
+    addServers(*cluster);
+    cluster->run(seconds { 25 });
+    return cluster;
+}
+
+directory_entry const* findEntry(balancer_coordinator& host, server_key const& key)
+{
+    for (auto const& [number, owner] : host.directory().owners()) {
+        if (owner == key)
+            return host.directory().find(number);
+    }
+    return nullptr;
+}
+
+bool isAccepting(coordinator_cluster& cluster, uint32_t host, server_key const& key)
+{
+    auto const* entry = findEntry(cluster.at(host), key);
+    auto const& servers = cluster.viewOf(host).routing->servers;
+    auto const found = entry ? servers.find(entry->id) : servers.end();
+    return found != servers.end() && found->second.condition == server_condition::Accepting;
+}
+
+std::map<server_id, uint32_t> bucketsByServer(bucket_table const& table)
+{
+    std::map<server_id, uint32_t> counts;
+    for (uint32_t index = 0; index < table.bucketCount(); ++index)
+        ++counts[table.at(index).current];
+    return counts;
+}
+
+double imbalance(bucket_table const& table)
+{
+    auto const counts = bucketsByServer(table);
+    auto const largest = std::max_element(counts.begin(), counts.end(),
+        [](auto const& first, auto const& second) { return first.second < second.second; });
+    return largest->second * static_cast<double>(counts.size()) / table.bucketCount();
+}
+
+void checkEqualTables(coordinator_cluster& cluster)
+{
+    for (auto const host : cluster.running()) {
+        for (auto const& [service, table] : cluster.at(cluster.running().front()).tables())
+            BOOST_TEST(cluster.at(host).tables().at(service)->digest() == table->digest());
+    }
+}
+
+// Guards against hosts that never agree on tables, and against servers in the table of another service (P2).
+BOOST_AUTO_TEST_CASE(hosts_that_start_together_agree)
+{
+    auto const cluster = settledCluster();
+    checkEqualTables(*cluster);
+    for (auto const host : cluster->running()) {
+        auto& coordinator = cluster->at(host);
+        BOOST_CHECK(coordinator.state() == synchronisation::Synchronised);
+        BOOST_CHECK(coordinator.planner() == (routed_peer { host_id { 1 }, 1 }));
+        BOOST_TEST(coordinator.hosts(cluster->now()).size() == 5U);
+        for (auto const& [service, table] : coordinator.tables()) {
+            for (uint32_t index = 0; index < table->bucketCount(); ++index) {
+                auto const* entry = coordinator.directory().find(table->at(index).current);
+                BOOST_REQUIRE(entry);
+                BOOST_REQUIRE(entry->announcement.key.service == service);
+            }
+        }
+        BOOST_TEST(bucketsByServer(*coordinator.tables().at(orders)).size() == orderServers);
+    }
+}
+
+// Guards against a joining server that gets no share, and against a share that comes too late (target: an imbalance
+// of at most 1.10 within 10 s of a join).
+BOOST_AUTO_TEST_CASE(joining_server_gets_its_share)
+{
+    auto const cluster = settledCluster(5, 4096);
+    auto const key = cluster->addServer(1, orderServers + 1);
+    cluster->run(seconds { 10 });
+    checkEqualTables(*cluster);
+    auto& planner = cluster->at(1);
+    auto const* entry = findEntry(planner, key);
+    BOOST_REQUIRE(entry);
+    BOOST_TEST(bucketsByServer(*planner.tables().at(orders)).contains(entry->id));
+    BOOST_TEST(imbalance(*planner.tables().at(orders)) <= 1.10);
+}
+
+// Guards against new flows on a leaving server (P6: none after 3 s at every balancer).
+BOOST_DATA_TEST_CASE(draining_server_is_closed_on_every_host, boost::unit_test::data::make({ 0, 300, 700 }), delay)
+{
+    auto const cluster = settledCluster();
+    auto const key = cluster->addServer(1, orderServers + 1);
+    cluster->run(seconds { 10 } + milliseconds { delay });
+    for (auto const host : cluster->running())
+        BOOST_TEST_REQUIRE(isAccepting(*cluster, host, key));
+    cluster->drain(key);
+    cluster->run(seconds { 3 });
+    cluster->run(seconds { 10 }, [&] {
+        for (auto const host : cluster->running())
+            BOOST_TEST_REQUIRE(!isAccepting(*cluster, host, key));
+    });
+    auto const counts = bucketsByServer(*cluster->at(1).tables().at(orders));
+    BOOST_TEST(!counts.contains(findEntry(cluster->at(1), key)->id));
+}
+
+// Guards against a restarted host that plans, or routes by a table, before it knows the servers. This moved half of
+// the buckets and reset flows.
+BOOST_DATA_TEST_CASE(
+    restarted_host_knows_the_servers_first, boost::unit_test::data::make({ 60, 500, 1100, 2500 }), pause)
+{
+    auto const cluster = settledCluster();
+    auto const before = *cluster->at(2).tables().at(orders);
+    cluster->stop(1);
+    cluster->run(milliseconds { pause });
+    cluster->start(1);
+    cluster->run(seconds { 20 }, [&] {
+        auto& restarted = cluster->at(1);
+        for (auto const& [service, table] : restarted.tables()) {
+            for (auto const& [server, count] : bucketsByServer(*table))
+                BOOST_REQUIRE(server == noServer || restarted.directory().find(server));
+        }
+        if (restarted.planner() && restarted.planner()->host == host_id { 1 })
+            BOOST_REQUIRE(restarted.servers(cluster->now()).size() == orderServers + galleryServers);
+        for (auto const host : cluster->running()) {
+            for (auto const& [server, value] : cluster->viewOf(host).routing->servers)
+                BOOST_REQUIRE(value.condition == server_condition::Accepting);
+        }
+    });
+    BOOST_CHECK(cluster->at(1).planner() == (routed_peer { host_id { 1 }, 2 }));
+    checkEqualTables(*cluster);
+    auto const& after = *cluster->at(1).tables().at(orders);
+    uint32_t moved = 0;
+    for (uint32_t index = 0; index < after.bucketCount(); ++index)
+        moved += after.at(index).current == before.at(index).current ? 0 : 1;
+    BOOST_TEST(moved == 0U);
+}
+
+// Guards against a lease that ends although the server announces itself, when only renewals are sent.
+BOOST_AUTO_TEST_CASE(renewals_keep_leases)
+{
+    auto const cluster = settledCluster();
+    cluster->run(seconds { 30 }, [&] {
+        for (auto const host : cluster->running()) {
+            for (auto const& status : cluster->at(host).servers(cluster->now()))
+                BOOST_REQUIRE(status.condition == server_condition::Accepting);
+        }
+    });
+}
+
+// Guards against a host that never learns of a server whose full record was lost: renewals carry no record.
+BOOST_AUTO_TEST_CASE(missing_record_is_repaired)
+{
+    auto const cluster = settledCluster();
+    cluster->deliver = [](outgoing_message const& message) {
+        auto const* records = std::get_if<records_message>(&message.message.body);
+        return !records || records->records.empty() || message.receiver != host_id { 3 };
+    };
+    auto const key = cluster->addServer(1, orderServers + 1);
+    cluster->run(seconds { 6 });
+    BOOST_TEST_REQUIRE(!findEntry(cluster->at(3), key));
+    cluster->deliver = [](outgoing_message const&) { return true; };
+    cluster->run(seconds { 12 });
+    BOOST_TEST(isAccepting(*cluster, 3, key));
+}
+
+// Guards against a host that stops while flows still depend on its entries (P7).
+BOOST_DATA_TEST_CASE(leaving_waits_until_no_bucket_names_the_host, boost::unit_test::data::make({ 1, 3 }), leaver)
+{
+    auto const cluster = settledCluster();
+    auto const host = static_cast<uint32_t>(leaver);
+    auto const names = [&](bucket_table const& table) {
+        for (uint32_t index = 0; index < table.bucketCount(); ++index) {
+            auto const& value = table.at(index);
+            if (value.phase != bucket_phase::Tracked)
+                continue;
+            auto const& set = table.witnessesOf(value);
+            for (uint8_t group = 0; group < set.count; ++group) {
+                for (uint8_t position = 0; position < set.groups[group].count; ++position) {
+                    if (set.groups[group].witnesses[position].host.value == host)
+                        return true;
+                }
+            }
+        }
+        return false;
+    };
+    BOOST_TEST_REQUIRE(names(*cluster->at(2).tables().at(orders)));
+    BOOST_TEST(!cluster->at(host).mayLeave());
+    cluster->at(host).leave();
+    cluster->run(seconds { 60 }, [&] {
+        if (!cluster->at(host).mayLeave())
+            return;
+        for (auto const other : cluster->running()) {
+            for (auto const& [service, table] : cluster->at(other).tables())
+                BOOST_REQUIRE(!names(*table));
+        }
+    });
+    BOOST_TEST(cluster->at(host).mayLeave());
+}
+
+struct false_message {
+    char const* name;
+    routed_peer sender;
+    coordination_message::body_type body;
+};
+
+std::ostream& operator<<(std::ostream& stream, false_message const& value) { return stream << value.name; }
+
+peer_heartbeat heartbeatOf(routed_peer sender)
+{
+    peer_heartbeat heartbeat;
+    heartbeat.sender = sender;
+    heartbeat.zone = zone_id { 1 };
+    return heartbeat;
+}
+
+server_record strangeRecord()
+{
+    return { server_id { 0x00900001 },
+        { { orders, ip_address::fromIpv4(0x0a0000ff), 6080 }, zone_id { 1 }, server_state::Serving, 1, 10, {}, 1 },
+        { 1, 1, host_id { 9 } }, duration::zero() };
+}
+
+std::vector<false_message> const falseMessages {
+    { "heartbeat of another host", { host_id { 2 }, 1 }, heartbeat_message { heartbeatOf({ host_id { 3 }, 1 }), 1 } },
+    { "heartbeat of this host", { host_id { 1 }, 9 }, heartbeat_message { heartbeatOf({ host_id { 1 }, 9 }), 1 } },
+    { "heartbeat of an unknown host", { host_id { 9 }, 1 },
+        heartbeat_message { heartbeatOf({ host_id { 9 }, 1 }), 1 } },
+    { "earlier incarnation", { host_id { 2 }, 0 }, heartbeat_message { heartbeatOf({ host_id { 2 }, 0 }), 1 } },
+    { "settled report of another host", { host_id { 2 }, 1 },
+        table_message { settled_report { orders, { host_id { 3 }, 1 }, {}, { 1 } } } },
+    { "filled report of another host", { host_id { 2 }, 1 },
+        table_message { filled_report { orders, { host_id { 3 }, 1 }, { 1 } } } },
+    { "records of an unknown host", { host_id { 9 }, 1 }, records_message { { strangeRecord() }, {} } },
+    { "records in the name of this host", { host_id { 1 }, 1 }, records_message { { strangeRecord() }, {} } },
+    { "evidence of an unknown host", { host_id { 9 }, 1 }, evidence_message { { { server_id { 1 }, 9, 9, 0 } } } },
+    { "table request of an unknown host", { host_id { 9 }, 1 }, table_message { table_request { orders, 1 } } },
+    { "fill request of an unknown host", { host_id { 9 }, 1 }, fill_request { orders, { 0 }, {} } },
+};
+
+// Guards against a misconfigured or restarted process that acts in the name of another host.
+BOOST_DATA_TEST_CASE(messages_with_a_false_sender_are_refused, falseMessages, wrong)
+{
+    auto const cluster = settledCluster(3);
+    auto& coordinator = cluster->at(1);
+    coordinator.takeMessages();
+    auto const servers = coordinator.directory().owners().size();
+    BOOST_TEST(!coordinator.receive({ wrong.sender, wrong.body }, cluster->now()).ok());
+    BOOST_TEST(coordinator.directory().owners().size() == servers);
+    BOOST_TEST(coordinator.takeMessages().empty());
+    BOOST_TEST(coordinator.takeCommands().empty());
+}
+
+// Guards against control traffic above the target of 4 KB/s for each balancer, averaged over any 10 s.
+BOOST_AUTO_TEST_CASE(control_traffic_stays_within_the_budget)
+{
+    coordinator_cluster cluster(5, 4096);
+    cluster.startAll();
+    addServers(cluster);
+    cluster.run(seconds { 30 });
+    for (auto const& [host, bytes] : cluster.largestWindow())
+        BOOST_TEST_MESSAGE("first start: host " << host << " sent at most " << bytes / 10 << " bytes a second");
+    cluster.resetBytes();
+    auto const key = cluster.addServer(1, orderServers + 1);
+    cluster.run(seconds { 15 });
+    cluster.drain(key);
+    cluster.run(seconds { 15 });
+    cluster.stop(1);
+    cluster.run(seconds { 1 });
+    cluster.start(1);
+    cluster.run(seconds { 30 });
+    for (auto const& [host, bytes] : cluster.largestWindow()) {
+        BOOST_TEST_MESSAGE("host " << host << " sent at most " << bytes / 10 << " bytes a second");
+        BOOST_TEST(bytes <= 40'960U, "host " << host << " sent " << bytes << " bytes in 10 s");
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/FuzzMessages/fuzz_configuration_answer.cpp
@@ -0,0 +1,15 @@
+#include <Distribution/distribution_message.h>
+#include <cstdlib>
+
+// Reads arbitrary messages. What is accepted must survive its own encoding.
+extern "C" int LLVMFuzzerTestOneInput(uint8_t const* data, size_t size)
+{
+    using namespace bilberryyard;
+    auto const decoded = configuration_answer::decode({ reinterpret_cast<char const*>(data), size });
+    if (!decoded.ok())
+        return 0;
+    auto const again = configuration_answer::decode(decoded->encode());
+    if (!again.ok() || *again != *decoded)
+        std::abort();
+    return 0;
+}
