--- /dev/null
+++ b/Tests/Transport/loopback.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <Packet/ip_endpoint.h>
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bilberryyard::samples {
+
+/// @return A loopback endpoint whose TCP port was free a moment ago.
+inline ip_endpoint freeEndpoint()
+{
+    int const socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    BOOST_REQUIRE(::bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    BOOST_REQUIRE(::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    ::close(socket);
+    return { ip_address::fromIpv4(INADDR_LOOPBACK), ntohs(address.sin_port) };
+}
+
+/// Repeats an attempt until it succeeds. The limit is generous, because the machine may be busy.
+/// @param attempt Returns whether it succeeded; waits a little itself.
+/// @return Whether it succeeded within 30 s.
+template <typename Attempt>
+bool succeeds(Attempt const& attempt)
+{
+    auto const end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    do {
+        if (attempt())
+            return true;
+    } while (std::chrono::steady_clock::now() < end);
+    return false;
+}
+
+} // namespace bilberryyard::samples
