CoordinationCodec: Limit the buckets that a table delta names

Cause: a bucket run of a few bytes stands for up to 2^20 buckets, and a delta may have any number of changes, so a message of 16 MB could ask for terabytes. Change: a delta names at most 2^20 buckets, the size of the largest table. A planner's delta names each bucket once (delta_builder), so no valid delta is refused.

--- a/Libraries/CoordinationCodec/table_codec.cpp
+++ b/Libraries/CoordinationCodec/table_codec.cpp
@@ -125,6 +125,7 @@
 {
     table_delta delta { service_id { message.service() }, message.version(), {} };
     std::vector<witness_set> sets;
+    size_t bucketCount = 0;
     for (auto const& setMessage : message.witness_sets()) {
         auto set = decodeWitnessSet(setMessage);
         if (!set.ok())
@@ -134,6 +135,10 @@
     for (auto const& change : message.changes()) {
         if (auto const status = decodeChange(message, sets, change, delta); !status.ok())
             return status;
+        // A run of a few bytes stands for up to 2^20 buckets; without this limit many of them would fill the memory.
+        bucketCount += delta.changes.back().buckets.size();
+        if (bucketCount > maximumBucketIndex + size_t { 1 })
+            return makeError(error_kind::InvalidArgument, "table delta with more changes than a table has buckets");
     }
     return delta;
 }
--- a/Tests/ControlMessages/test_control_codec.cpp
+++ b/Tests/ControlMessages/test_control_codec.cpp
@@ -84,31 +84,33 @@
 
 std::ostream& operator<<(std::ostream& stream, bad_value const& value) { return stream << value.name; }
 
-using message = messages::ControlMessage;
+using wire_message = messages::ControlMessage;
 
 std::vector<bad_value> const badValues {
-    { "no body", "offer", [](message& value) { value.clear_body(); } },
-    { "no consensus body", "timeout now", [](message& value) { value.mutable_consensus()->clear_body(); } },
+    { "no body", "offer", [](wire_message& value) { value.clear_body(); } },
+    { "no consensus body", "timeout now", [](wire_message& value) { value.mutable_consensus()->clear_body(); } },
     { "phase 0", "vote request",
-        [](message& value) { value.mutable_consensus()->mutable_vote_request()->set_phase(0); } },
+        [](wire_message& value) { value.mutable_consensus()->mutable_vote_request()->set_phase(0); } },
     { "phase 3", "vote request",
-        [](message& value) { value.mutable_consensus()->mutable_vote_request()->set_phase(3); } },
+        [](wire_message& value) { value.mutable_consensus()->mutable_vote_request()->set_phase(3); } },
     { "cause 0", "vote request",
-        [](message& value) { value.mutable_consensus()->mutable_vote_request()->set_cause(0); } },
+        [](wire_message& value) { value.mutable_consensus()->mutable_vote_request()->set_cause(0); } },
     { "cause 258", "vote request",
-        [](message& value) { value.mutable_consensus()->mutable_vote_request()->set_cause(258); } },
+        [](wire_message& value) { value.mutable_consensus()->mutable_vote_request()->set_cause(258); } },
     { "response phase", "vote response",
-        [](message& value) { value.mutable_consensus()->mutable_vote_response()->set_phase(3); } },
+        [](wire_message& value) { value.mutable_consensus()->mutable_vote_response()->set_phase(3); } },
     { "decision 0", "vote response",
-        [](message& value) { value.mutable_consensus()->mutable_vote_response()->set_decision(0); } },
+        [](wire_message& value) { value.mutable_consensus()->mutable_vote_response()->set_decision(0); } },
     { "decision 258", "vote response",
-        [](message& value) { value.mutable_consensus()->mutable_vote_response()->set_decision(258); } },
+        [](wire_message& value) { value.mutable_consensus()->mutable_vote_response()->set_decision(258); } },
     { "entry kind", "append request",
-        [](message& value) { value.mutable_consensus()->mutable_append_request()->mutable_entries(1)->set_kind(4); } },
+        [](wire_message& value) {
+            value.mutable_consensus()->mutable_append_request()->mutable_entries(1)->set_kind(4);
+        } },
     { "outcome", "append response",
-        [](message& value) { value.mutable_consensus()->mutable_append_response()->set_outcome(3); } },
+        [](wire_message& value) { value.mutable_consensus()->mutable_append_response()->set_outcome(3); } },
     { "members", "snapshot chunk",
-        [](message& value) { value.mutable_consensus()->mutable_snapshot_chunk()->set_configuration("x"); },
+        [](wire_message& value) { value.mutable_consensus()->mutable_snapshot_chunk()->set_configuration("x"); },
         error_kind::DataLoss },
 };
 
@@ -132,10 +134,10 @@
 // Guards against an age that overflows when it becomes nanoseconds.
 BOOST_AUTO_TEST_CASE(ages_are_bounded)
 {
-    messages::ControlMessage message;
-    message.set_deployment(deployment);
-    message.mutable_report()->add_balancers()->set_age_milliseconds(UINT64_MAX);
-    auto const decoded = codec.decode(message.SerializeAsString());
+    messages::ControlMessage encoded;
+    encoded.set_deployment(deployment);
+    encoded.mutable_report()->add_balancers()->set_age_milliseconds(UINT64_MAX);
+    auto const decoded = codec.decode(encoded.SerializeAsString());
     BOOST_REQUIRE(decoded.ok());
     BOOST_CHECK(std::get<host_report>(decoded->body).balancers.at(0).age == std::chrono::hours { 24 });
 }
--- a/Tests/Coordination/coordinator_cluster.cpp
+++ b/Tests/Coordination/coordinator_cluster.cpp
@@ -99,12 +99,12 @@
 void coordinator_cluster::deliverDue()
 {
     while (!m_packets.empty() && m_packets.front().arrival <= m_now) {
-        auto const packet = std::move(m_packets.front());
+        auto const arrived = std::move(m_packets.front());
         m_packets.pop_front();
-        auto const host = m_hosts.find(packet.message.receiver.value);
+        auto const host = m_hosts.find(arrived.message.receiver.value);
         if (host != m_hosts.end())
             // A message of a host that has restarted since may be refused.
-            (void)host->second.coordinator->receive(packet.message.message, m_now);
+            (void)host->second.coordinator->receive(arrived.message.message, m_now);
     }
 }
 
--- a/Tests/Forwarding/test_packet_processor.cpp
+++ b/Tests/Forwarding/test_packet_processor.cpp
@@ -56,6 +56,14 @@
     packet_processor<fixed_router, fake_packet_io> processor;
 };
 
+/// A packet with the name of its kind for the report of a failed test.
+struct named_packet {
+    char const* name;
+    bytes packet;
+};
+
+std::ostream& operator<<(std::ostream& stream, named_packet const& value) { return stream << value.name; }
+
 bytes const syn = tcp(ipv4Flow, { tcp_flags::syn, 100 });
 
 bytes relayed(bytes const& packet, relay_header const& header)
@@ -68,13 +76,15 @@
 
 relay_header const header { relay_kind::Record, 1, 0, peer, service_id { 1 }, server, 3 };
 
-std::vector<bytes> const flowPackets { syn, tcp(ipv6Flow, { tcp_flags::ack, 100, 500 }, 12), udp(ipv4Flow),
-    udp(ipv6Flow) };
+std::vector<named_packet> const flowPackets { { "SYN", syn },
+    { "IPv6 segment", tcp(ipv6Flow, { tcp_flags::ack, 100, 500 }, 12) }, { "UDP", udp(ipv4Flow) },
+    { "IPv6 UDP", udp(ipv6Flow) } };
 
 // Guards against a packet that reaches the server changed, or another server.
-BOOST_DATA_TEST_CASE(forwarded_packet_reaches_the_server_unchanged, flowPackets, packet)
+BOOST_DATA_TEST_CASE(forwarded_packet_reaches_the_server_unchanged, flowPackets, sample)
 {
     fixture test;
+    auto const& packet = sample.packet;
     test.router.action = forward_to_server { service_id { 1 }, server };
     test.fabric.incoming.push_back({ packet, fabricEndpoint });
     test.relay.incoming.push_back({ relayed(packet, header), peerEndpoint });
