Coordination: Refuse messages in the name of unknown hosts

Cause: only heartbeats checked the sender. Records, evidence, table requests and fill requests of a host that is not configured, or in this host's own name, took effect or were answered. Test: messages_with_a_false_sender_are_refused failed for 5 of 11 messages, and passes now. Also corrects missing_record_is_repaired: the server announced itself to the host that must not know it; it now announces itself to one other host only, and the check is the same.

--- a/Libraries/Coordination/balancer_coordinator.cpp
+++ b/Libraries/Coordination/balancer_coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <Base/error_kind.h>
 #include <algorithm>
+#include <string>
 
 namespace bilberryyard {
 
@@ -85,6 +86,12 @@
 absl::Status balancer_coordinator::receive(coordination_message const& message, monotonic_time now)
 {
     m_peers->advance(now);
+    auto const host = message.sender.host;
+    // The heartbeat has errors of its own for these hosts, which name what is wrong.
+    if (!std::holds_alternative<heartbeat_message>(message.body)
+        && (host == m_settings.self.host || !m_settings.entryHosts.contains(host)))
+        return makeError(error_kind::PermissionDenied,
+            "message in the name of host " + std::to_string(host.value) + ", which is no other entry host");
     auto status = std::visit([&](auto const& body) { return handle(message.sender, body, now); }, message.body);
     acknowledgeTables();
     return status;
--- a/Tests/Coordination/coordinator_cluster.cpp
+++ b/Tests/Coordination/coordinator_cluster.cpp
@@ -90,7 +90,9 @@
             continue;
         auto& server = m_servers[index];
         server.load.openConnections = server.load.openConnections + 1;
-        auto const host = hosts[(index + m_ticks / ticksPerSecond) % hosts.size()];
+        auto const only = m_onlyHost.find(server.key);
+        auto const host
+            = only == m_onlyHost.end() ? hosts[(index + m_ticks / ticksPerSecond) % hosts.size()] : only->second;
         auto const id = at(host).announce(server, m_now);
         BOOST_REQUIRE_MESSAGE(id.ok(), id.status().ToString());
     }
--- a/Tests/Coordination/coordinator_cluster.h
+++ b/Tests/Coordination/coordinator_cluster.h
@@ -30,6 +30,8 @@
     /// @return Key of a new server that announces itself every second to one host after another.
     server_key addServer(uint32_t service, uint32_t number);
     void drain(server_key const& key);
+    /// Lets a server announce itself to one host only.
+    void announceOnlyTo(uint32_t host, server_key const& key) { m_onlyHost[key] = host; }
 
     /// Advances the time.
     /// @param length How long.
@@ -72,6 +74,7 @@
     std::map<uint32_t, uint32_t> m_incarnations;
     std::map<uint32_t, entry_host> m_hosts;
     std::vector<server_announcement> m_servers;
+    std::map<server_key, uint32_t> m_onlyHost;
     std::deque<packet> m_packets;
     /// Bytes sent in each tick.
     std::vector<std::map<uint32_t, size_t>> m_bytes;
--- a/Tests/Coordination/test_balancer_coordinator.cpp
+++ b/Tests/Coordination/test_balancer_coordinator.cpp
@@ -181,7 +181,9 @@
         return !records || records->records.empty() || message.receiver != host_id { 3 };
     };
     auto const key = cluster->addServer(1, orderServers + 1);
+    cluster->announceOnlyTo(2, key);
     cluster->run(seconds { 6 });
+    BOOST_TEST_REQUIRE(isAccepting(*cluster, 1, key));
     BOOST_TEST_REQUIRE(!findEntry(cluster->at(3), key));
     cluster->deliver = [](outgoing_message const&) { return true; };
     cluster->run(seconds { 12 });
