Forwarding: Do not observe packets that were not forwarded

Cause: handshake_observer was told of a SYN before the endpoint of its server was looked up. A SYN to a server without a known endpoint was dropped and still counted as a started handshake of that server.

--- a/Libraries/Forwarding/packet_processor.h
+++ b/Libraries/Forwarding/packet_processor.h
@@ -106,9 +106,12 @@
             return drop(*reason);
         auto const& value = std::get<parsed_packet>(parsed);
         auto const action = m_router.route(value, origin, now);
-        if (auto const* forward = std::get_if<forward_to_server>(&action))
-            m_observer.forwarded(value, hashFlow(value.key, m_view->routing->hashSeed), forward->server);
+        auto const queued = m_toFabric.size();
         std::visit([&](auto const& chosen) { perform(chosen, buffer, offset, now); }, action);
+        auto const* forward = std::get_if<forward_to_server>(&action);
+        // A packet that was dropped for want of an endpoint is no failure of the server.
+        if (forward && m_toFabric.size() > queued)
+            m_observer.forwarded(value, hashFlow(value.key, m_view->routing->hashSeed), forward->server);
     }
 
     void perform(forward_to_server const& action, std::span<uint8_t> buffer, size_t offset, monotonic_time)
--- a/Tests/Forwarding/test_packet_processor.cpp
+++ b/Tests/Forwarding/test_packet_processor.cpp
@@ -66,11 +66,11 @@
 
 bytes const syn = tcp(ipv4Flow, { tcp_flags::syn, 100 });
 
-bytes relayed(bytes const& packet, relay_header const& header)
+bytes relayed(bytes const& packet, relay_header const& value)
 {
-    auto const encoded = encodeRelayHeader(header);
-    bytes result(encoded.begin(), encoded.end());
-    result.insert(result.end(), packet.begin(), packet.end());
+    bytes result(relayHeaderSize + packet.size());
+    std::copy(packet.begin(), packet.end(), result.begin() + relayHeaderSize);
+    BOOST_REQUIRE(prependRelayHeader(result, relayHeaderSize, value));
     return result;
 }
 
