--- a/Meta/Packages.cmake
+++ b/Meta/Packages.cmake
@@ -2,8 +2,9 @@
 
 add_library(bilberryyard_options INTERFACE)
 target_compile_options(bilberryyard_options INTERFACE -Wall -Wextra -Werror -Wshadow -Wnon-virtual-dtor
-    # GCC 12 reports moves of std::variant members as uninitialised when it inlines them.
-    -Wno-maybe-uninitialized)
+    # GCC 12 reports moves of std::variant members as uninitialised when it inlines them. Clang does not know the
+    # option and refuses it.
+    $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
 target_include_directories(bilberryyard_options INTERFACE ${CMAKE_SOURCE_DIR}/Libraries)
 target_link_libraries(bilberryyard_options INTERFACE Threads::Threads)
 if(BILBERRYYARD_SANITIZE)
