--- a/Libraries/Coordination/balancer_coordinator.cpp
+++ b/Libraries/Coordination/balancer_coordinator.cpp
@@ -10,9 +10,6 @@
 
     // Bounds how long a peer that missed a full record goes without it.
     constexpr std::chrono::seconds fullRecordInterval { 10 };
-    // A host asks for the tables of all services at once, and repeats a request after 200 ms at the earliest. The
-    // records need not be sent with each table, but they are sent again with a repeated request.
-    constexpr std::chrono::milliseconds requestBurst { 100 };
 
 } // namespace
 
@@ -226,7 +223,7 @@
 {
     if (message.heartbeat.sender != sender)
         return makeError(error_kind::InvalidArgument, "heartbeat of another host than the sender");
-    if (auto const status = m_peers->receive(message.heartbeat, now); !status.ok())
+    if (auto status = m_peers->receive(message.heartbeat, now); !status.ok())
         return status;
     m_peerRevisions[sender.host] = message.configurationRevision;
     m_heardAt[sender.host] = now;
@@ -236,7 +233,7 @@
 absl::Status balancer_coordinator::handle(routed_peer sender, records_message const& message, monotonic_time now)
 {
     for (auto const& record : message.records) {
-        if (auto const status = m_directory.merge(record, now); !status.ok())
+        if (auto status = m_directory.merge(record, now); !status.ok())
             return status;
     }
     for (auto const& renewal : message.renewals) {
@@ -247,7 +244,7 @@
         server_record record { entry->id, entry->announcement,
             { entry->stamp.incarnation, renewal.sequence, sender.host }, duration::zero() };
         record.announcement.load = renewal.load;
-        if (auto const status = m_directory.merge(record, now); !status.ok())
+        if (auto status = m_directory.merge(record, now); !status.ok())
             return status;
     }
     return absl::OkStatus();
@@ -267,21 +264,11 @@
     // A host that synchronises may become the planner at once. With tables but without the servers that they name
     // it would reset flows and move buckets. Messages to a peer arrive in order, so the records come first.
     if (std::holds_alternative<table_request>(message) && m_tableCoordinator.isPlanning())
-        sendAllRecords(sender, now);
+        send(sender.host, records_message { m_directory.recordsSince(0, record_scope::All, now), {} });
     send(m_tableCoordinator.receive(sender, message, now));
     return absl::OkStatus();
 }
 
-void balancer_coordinator::sendAllRecords(routed_peer receiver, monotonic_time now)
-{
-    std::erase_if(m_answeredRequests, [now](auto const& item) { return now - item.second.at >= requestBurst; });
-    auto const answered = m_answeredRequests.try_emplace(receiver, answered_request { 0, now }).first;
-    auto records = m_directory.recordsSince(answered->second.changeCounter, record_scope::All, now);
-    answered->second.changeCounter = m_directory.changeCounter();
-    if (!records.empty())
-        send(receiver.host, records_message { std::move(records), {} });
-}
-
 bool balancer_coordinator::isWitness(routed_peer peer, bucket_table const& table, uint32_t index) const
 {
     auto const& value = table.at(index);
--- a/Libraries/Coordination/balancer_coordinator.h
+++ b/Libraries/Coordination/balancer_coordinator.h
@@ -100,7 +100,6 @@
     void sendHeartbeatTo(host_id receiver);
     void acknowledgeTables();
     void sendRecords(monotonic_time now);
-    void sendAllRecords(routed_peer receiver, monotonic_time now);
     bool isRenewal(server_record const& record, monotonic_time now);
     void permitLeaving(monotonic_time now);
     void greetNewPeers(monotonic_time now);
@@ -159,13 +158,6 @@
     /// Records that were sent in full, without their load.
     std::map<server_id, sent_record> m_sentRecords;
 
-    struct answered_request {
-        uint64_t changeCounter = 0;
-        monotonic_time at;
-    };
-    /// When each peer was last sent all records in answer to its table requests, and up to which change.
-    std::map<routed_peer, answered_request> m_answeredRequests;
-
     std::vector<outgoing_message> m_messages;
     std::vector<flow_command> m_commands;
     std::shared_ptr<forwarding_view const> m_view;
