--- a/Libraries/Coordination/balancer_coordinator.cpp
+++ b/Libraries/Coordination/balancer_coordinator.cpp
@@ -46,7 +46,7 @@
         auto const traffic = service.protocol == ip_protocol::Udp ? service_traffic::Datagram : service_traffic::Stream;
         services[service.id] = { traffic, service.bucketCount };
     }
-    if (auto const status = m_tableCoordinator.setServices(services); !status.ok())
+    if (auto status = m_tableCoordinator.setServices(services); !status.ok())
         return status;
     for (auto const& service : m_configuration.services) {
         if (services.contains(service.id))
--- /dev/null
+++ b/Meta/measure-changes.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Measures how long an accepted change takes until it is in force on every balancer, over many changes with the
+# leader of the control hosts killed among them, and how long a new leader takes. Real processes on loopback.
+# Usage: Meta/measure-changes.sh [flessenpost|derwent]; environment: CHANGES (200).
+# Prints the figures with their targets and fails when one is missed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+DEPLOYMENT=${1:-flessenpost}
+source Meta/run-deployment.sh
+start_deployment 2 1
+changes=${CHANGES:-200}
+milliseconds() { echo $(($(date +%s%N) / 1000000)); }
+revision_in_force() {
+    http_get "$NETWORK.0.$1:8080/metrics" | awk '$1 == "bilberryyard_configuration_revision" { print $2 }'
+}
+everywhere() {
+    local host
+    for host in $ENTRY_HOSTS; do
+        [ "$(revision_in_force "$host")" -ge "$1" ] || return 1
+    done
+}
+leader() { operate status --output text | awk '$4 == "leader" { print $1 - 100 }'; }
+
+slowest_leader=0
+: >"$RUN/delays"
+for ((number = 1; number <= changes; number++)); do
+    if ((number % 100 == 50)); then
+        victim=$(leader)
+        from=$(milliseconds)
+        stop "control-$victim" KILL
+        until [ -n "$(leader 2>/dev/null)" ]; do sleep 0.02; done
+        took=$(($(milliseconds) - from))
+        ((took > slowest_leader)) && slowest_leader=$took
+        start_control "$victim"
+    fi
+    if ((number % 2)); then action=add; else action=remove; fi
+    arguments=(exception "$action" "server/$NETWORK.4.1:6080" connection_limit)
+    [ "$action" = add ] && arguments+=("$((1000 + number))")
+    operate "${arguments[@]}" --reason "measurement $number" >"$RUN/change.log" 2>&1 || { cat "$RUN/change.log"; exit 1; }
+    accepted=$(milliseconds)
+    wait_until 20 everywhere $((number + 1))
+    echo $(($(milliseconds) - accepted)) >>"$RUN/delays"
+done
+sort -n "$RUN/delays" | awk -v leader="$slowest_leader" '
+    { delay[NR] = $1 }
+    END {
+        p99 = delay[int(NR * 0.99)]
+        printf "changes %d: in force everywhere p50 %d ms, p99 %d ms, slowest %d ms (target p99 2000 ms)\n", NR, delay[int(NR / 2)], p99, delay[NR]
+        printf "new leader after a kill: at most %d ms (target 3000 ms)\n", leader
+        exit p99 > 2000 || leader > 3000
+    }'
--- a/Services/Daemon/control_duty.cpp
+++ b/Services/Daemon/control_duty.cpp
@@ -107,7 +107,7 @@
         std::random_device random;
         m_joinToken = static_cast<uint64_t>(random()) << 32 | random() | 1;
         std::string const bytes(reinterpret_cast<char const*>(&m_joinToken), sizeof(m_joinToken));
-        if (auto const status = replaceFile(*m_files, m_settings.dataFolder, "join-token", bytes); !status.ok())
+        if (auto status = replaceFile(*m_files, m_settings.dataFolder, "join-token", bytes); !status.ok())
             return status;
     }
     m_logger.emit(events::waitingToBeAdded, "host=" + std::to_string(m_settings.host.value));
--- a/Services/Daemon/control_duty_members.cpp
+++ b/Services/Daemon/control_duty_members.cpp
@@ -241,6 +241,7 @@
         rows[host] = { host, row.zone, { "balancer" }, balancerCondition(row), row.revision, row.age };
     }
     std::vector<host_status> result;
+    result.reserve(rows.size());
     for (auto& [host, row] : rows)
         result.push_back(std::move(row));
     return result;
--- a/Services/Daemon/coordination_duty.cpp
+++ b/Services/Daemon/coordination_duty.cpp
@@ -105,9 +105,10 @@
     while (bytes) {
         m_hasInput = true;
         auto const message = m_codec.decode(*bytes);
-        if (!message.ok())
-            m_metrics.counter("peer_messages_refused_total").add();
-        else if (m_coordinator && !m_coordinator->receive(*message, std::chrono::steady_clock::now()).ok())
+        auto status = message.status();
+        if (status.ok() && m_coordinator)
+            status = m_coordinator->receive(*message, std::chrono::steady_clock::now());
+        if (!status.ok())
             m_metrics.counter("peer_messages_refused_total").add();
         bytes = m_socket.receive(std::chrono::milliseconds(0));
     }
