Daemon: Answer the leader before a learner knows its configuration

Cause: Meta/control-faults.sh, lost disk: the host got its new identity but stayed without a configuration, because it looked up the leader's address in the configuration that it did not have yet. Change: messages go to the host that a member last wrote from when its address is not known. Before: timeout waiting for the host to be a follower.

--- a/Meta/control-faults.sh
+++ b/Meta/control-faults.sh
@@ -21,7 +21,11 @@
 change() { operate exception add "server/$NETWORK.4.$1:6080" weight 0.5 --reason "check $1" "${@:2}" >"$RUN/change.log" 2>&1; }
 current() { operate get --output yaml | awk '$1 == "revision:" { print $2; exit }'; }
 condition_is() { [ "$(operate status --output text 2>/dev/null | awk -v host="$1" '$1 == host { print $4 }')" = "$2" ]; }
-leader() { operate status --output text | awk '$4 == "leader" { print $1 - 100 }'; }
+leader() {
+    local found=
+    until [ -n "$found" ]; do found=$(operate status --output text 2>/dev/null | awk '$4 == "leader" { print $1 - 100; exit }') || true; done
+    echo "$found"
+}
 exits_with() {
     local expected=$1 status=0
     shift
--- a/Services/Daemon/control_duty.cpp
+++ b/Services/Daemon/control_duty.cpp
@@ -157,8 +157,9 @@
         m_metrics.counter("control_messages_unsent_total").add();
 }
 
-void control_duty::handle(host_id, consensus_message const& message)
+void control_duty::handle(host_id sender, consensus_message const& message)
 {
+    m_hostsOfMembers[message.sender] = sender;
     if (m_member)
         m_member->receive(message, std::chrono::steady_clock::now());
 }
@@ -175,8 +176,13 @@
 
 void control_duty::perform(send_message const& action)
 {
-    if (auto const address = addressOf(action.message.receiver))
-        sendTo(address->host, action.message);
+    auto const receiver = action.message.receiver;
+    if (auto const address = addressOf(receiver))
+        return sendTo(address->host, action.message);
+    // A learner that has just joined has no configuration yet, and must answer the leader all the same.
+    auto const known = m_hostsOfMembers.find(receiver);
+    if (known != m_hostsOfMembers.end())
+        sendTo(known->second, action.message);
 }
 
 void control_duty::perform(persist_request const& action)
--- a/Services/Daemon/control_duty.h
+++ b/Services/Daemon/control_duty.h
@@ -130,6 +130,8 @@
     std::map<uint64_t, answer<bool>> m_membershipChanges;
     std::map<log_index, command_result> m_results;
     std::map<host_id, pending_join> m_joins;
+    /// Where messages of a member last came from.
+    std::map<member_id, host_id> m_hostsOfMembers;
     std::map<host_id, received_report> m_reports;
     std::optional<monotonic_time> m_invitedAt;
     std::optional<monotonic_time> m_reportedAt;
