--- a/Utilities/Emulator/announcer.cpp
+++ b/Utilities/Emulator/announcer.cpp
@@ -1,5 +1,6 @@
 #include "announcer.h"
 
+#include <OperatorInterface/http_client.h>
 #include <iostream>
 #include <sstream>
 
@@ -24,8 +25,7 @@
 }
 
 announcer::announcer(std::vector<ip_endpoint> entryHosts, announced_server const& initial)
-    : m_client(announceTimeout)
-    , m_entryHosts(std::move(entryHosts))
+    : m_entryHosts(std::move(entryHosts))
     , m_preferred(initial.endpoint.address.bytes.back() % m_entryHosts.size())
     , m_value(initial)
     , m_thread(std::make_unique<duty_thread>("announcer", [this](std::stop_token const& token) { run(token); }))
@@ -61,7 +61,10 @@
 bool announcer::announceOnce(announced_server const& value)
 {
     for (size_t attempt = 0; attempt < m_entryHosts.size(); ++attempt) {
-        auto const response = m_client.request(m_entryHosts[m_preferred], "POST", "/v1/servers", value.toJson());
+        auto const& host = m_entryHosts[m_preferred];
+        http_request const request { "POST", "/v1/servers", {}, { { "content-type", "application/json" } },
+            value.toJson() };
+        auto const response = exchangeHttp({ host.address, host.port }, request, announceTimeout).response;
         if (response.ok() && response->status == 200)
             return true;
         if (response.ok() && response->status == 400)
--- a/Utilities/Emulator/announcer.h
+++ b/Utilities/Emulator/announcer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <Http/http_client.h>
 #include <Kernel/duty_thread.h>
+#include <Packet/ip_endpoint.h>
 #include <atomic>
 #include <memory>
 #include <mutex>
@@ -42,7 +42,6 @@
     void run(std::stop_token const& stopToken);
     bool announceOnce(announced_server const& value);
 
-    http_client m_client;
     std::vector<ip_endpoint> m_entryHosts;
     size_t m_preferred = 0;
     std::mutex m_mutex;
--- a/Utilities/Emulator/fabric_process.cpp
+++ b/Utilities/Emulator/fabric_process.cpp
@@ -1,6 +1,7 @@
 #include "fabric_process.h"
 
 #include "stop_signal.h"
+#include <OperatorInterface/http_client.h>
 #include <iostream>
 
 namespace bilberryyard {
@@ -23,7 +24,6 @@
 fabric_process::fabric_process(fabric_settings const& settings, udp_packet_io io)
     : m_settings(settings)
     , m_io(std::move(io))
-    , m_client(probeTimeout)
     , m_random(settings.seed)
     , m_ready(settings.targets.size())
 {
@@ -41,7 +41,8 @@
 
 bool fabric_process::isReady(fabric_target const& target) const
 {
-    auto const response = m_client.request(target.http, "GET", "/readyz");
+    http_request const request { "GET", "/readyz", {}, {}, {} };
+    auto const response = exchangeHttp({ target.http.address, target.http.port }, request, probeTimeout).response;
     return response.ok() && response->status == 200;
 }
 
--- a/Utilities/Emulator/fabric_process.h
+++ b/Utilities/Emulator/fabric_process.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <Http/http_client.h>
 #include <Kernel/duty_thread.h>
 #include <Packet/udp_packet_io.h>
 #include <absl/status/statusor.h>
@@ -43,7 +42,6 @@
 
     fabric_settings m_settings;
     udp_packet_io m_io;
-    http_client m_client;
     std::mt19937_64 m_random;
     std::vector<std::atomic<bool>> m_ready;
     std::vector<ip_endpoint> m_readyTargets;
