--- a/Meta/churn.sh
+++ b/Meta/churn.sh
@@ -9,7 +9,7 @@
 SCENARIO=${1:?scenario}
 DEPLOYMENT=${2:-flessenpost}
 source Meta/run-deployment.sh
-start_deployment "${LARGE_COUNT:-13}" 4
+start_deployment "${LARGE_COUNT:-13}" "${SMALL_COUNT:-4}"
 
 load --duration "$((${SECONDS_OF_LOAD:-16} * 1000))" --rate "${RATE:-1000}" --feeds "${FEEDS:-1000}" \
     --feed-interval 1000 >"$RUN/load.out" 2>&1 &
