Membership: Find a server by its key

Cause: each announcement copied the whole directory to find one entry, and the comment of daemon named a service_directory that it does not use. Change: server_directory::find(server_key); the comment says what the code does, with a FIXME for the house style. Behaviour is unchanged.

--- a/Libraries/Coordination/balancer_coordinator.cpp
+++ b/Libraries/Coordination/balancer_coordinator.cpp
@@ -72,10 +72,8 @@
 
 absl::StatusOr<server_id> balancer_coordinator::announce(server_announcement const& announcement, monotonic_time now)
 {
-    auto const known = m_directory.entries();
-    auto const before = std::find_if(known.begin(), known.end(),
-        [&](directory_entry const& entry) { return entry.announcement.key == announcement.key; });
-    bool const isUrgent = before == known.end() || before->announcement.state != announcement.state;
+    auto const* before = m_directory.find(announcement.key);
+    bool const isUrgent = !before || before->announcement.state != announcement.state;
     auto id = m_directory.announce(announcement, now);
     // Peers must stop sending new flows to a leaving server within 3 s, so a change of state is not held back.
     if (id.ok() && isUrgent)
--- a/Libraries/Membership/server_directory.cpp
+++ b/Libraries/Membership/server_directory.cpp
@@ -111,7 +111,12 @@
     auto const owner = m_owners.find(id);
     if (owner == m_owners.end())
         return nullptr;
-    auto const entry = m_entries.find(owner->second);
+    return find(owner->second);
+}
+
+directory_entry const* server_directory::find(server_key const& key) const
+{
+    auto const entry = m_entries.find(key);
     return entry == m_entries.end() ? nullptr : &entry->second;
 }
 
--- a/Libraries/Membership/server_directory.h
+++ b/Libraries/Membership/server_directory.h
@@ -89,6 +89,10 @@
     /// @return The entry, or nullptr for an unknown number.
     directory_entry const* find(server_id id) const;
 
+    /// @param key A server.
+    /// @return The entry, or nullptr for an unknown server.
+    directory_entry const* find(server_key const& key) const;
+
     /// @param id A number or an alias.
     /// @return The server's own number; noServer for an unknown number.
     server_id canonical(server_id id) const;
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -3,7 +3,6 @@
 #include <Base/event_logger.h>
 #include <Configuration/daemon_settings.h>
 #include <Kernel/metrics_registry.h>
-#include <Kernel/service_directory.h>
 #include <absl/status/statusor.h>
 #include <functional>
 #include <memory>
@@ -11,7 +10,8 @@
 
 namespace bilberryyard {
 
-/// The process: its roles, which find each other in a service_directory, and its HTTP server.
+/// The process: its roles and its HTTP server.
+/// FIXME: The roles are members here; the house style wants them to find each other in a service_directory.
 class daemon {
 public:
     /// Opens all sockets and starts all threads.
