--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -29,11 +29,22 @@
     inline constexpr log_event daemonStopped { 102, log_severity::Information, "daemon_stopped" };
     inline constexpr log_event settingsRefused { 103, log_severity::Error, "settings_refused" };
     inline constexpr log_event startFailed { 104, log_severity::Error, "start_failed" };
+    inline constexpr log_event settingsReloaded { 105, log_severity::Information, "settings_reloaded" };
     inline constexpr log_event packetSocketError { 200, log_severity::Error, "packet_socket_error" };
+    inline constexpr log_event flowPlaced { 201, log_severity::Information, "flow_placed" };
+    inline constexpr log_event flowReset { 202, log_severity::Information, "flow_reset" };
+    inline constexpr log_event packetDropped { 203, log_severity::Information, "packet_dropped" };
+    inline constexpr log_event serverEjected { 204, log_severity::Warning, "server_ejected" };
+    inline constexpr log_event linesSuppressed { 205, log_severity::Warning, "lines_suppressed" };
     inline constexpr log_event tableChanged { 300, log_severity::Information, "table_changed" };
     inline constexpr log_event serverJoined { 400, log_severity::Information, "server_joined" };
     inline constexpr log_event serverLeaseExpired { 401, log_severity::Warning, "server_lease_expired" };
     inline constexpr log_event serverDraining { 402, log_severity::Information, "server_draining" };
+    inline constexpr log_event serverAnnounced { 403, log_severity::Information, "server_announced" };
+    inline constexpr log_event announcementRefused { 404, log_severity::Warning, "announcement_refused" };
+    inline constexpr log_event hostHeard { 405, log_severity::Information, "host_heard" };
+    inline constexpr log_event hostSilent { 406, log_severity::Warning, "host_silent" };
+    inline constexpr log_event readinessChanged { 407, log_severity::Information, "readiness_changed" };
     inline constexpr log_event configurationInForce { 500, log_severity::Information, "configuration_in_force" };
     inline constexpr log_event configurationRefused { 501, log_severity::Error, "configuration_refused" };
     inline constexpr log_event configurationNotSaved { 502, log_severity::Warning, "configuration_not_saved" };
@@ -42,6 +53,11 @@
     inline constexpr log_event waitingToBeAdded { 601, log_severity::Warning, "waiting_to_be_added" };
     inline constexpr log_event storageFailed { 602, log_severity::Error, "storage_failed" };
     inline constexpr log_event memberRemoved { 603, log_severity::Information, "member_removed" };
+    inline constexpr log_event groupFounded { 604, log_severity::Information, "group_founded" };
+    inline constexpr log_event memberRoleChanged { 605, log_severity::Information, "member_role_changed" };
+    inline constexpr log_event documentApplied { 606, log_severity::Information, "document_applied" };
+    inline constexpr log_event groupChanged { 607, log_severity::Information, "group_changed" };
+    inline constexpr log_event documentRequested { 608, log_severity::Information, "document_requested" };
     inline constexpr log_event httpListenFailed { 700, log_severity::Error, "http_listen_failed" };
 } // namespace events
 
--- /dev/null
+++ b/Libraries/Configuration/versioned_document.cpp
@@ -0,0 +1,53 @@
+#include <Configuration/versioned_document.h>
+
+#include <Base/error_kind.h>
+
+namespace bilberryyard {
+
+namespace {
+
+    constexpr size_t versionBytes = sizeof(uint64_t);
+
+} // namespace
+
+std::string versioned_document::encode() const
+{
+    std::string payload;
+    payload.reserve(versionBytes + bytes.size());
+    for (size_t shift = 0; shift < versionBytes; ++shift)
+        payload.push_back(static_cast<char>(version >> (8 * shift)));
+    return payload.append(bytes);
+}
+
+absl::StatusOr<versioned_document> versioned_document::decode(std::string_view payload)
+{
+    if (payload.size() < versionBytes)
+        return makeError(error_kind::DataLoss, "a stored configuration is shorter than its version");
+    versioned_document result;
+    for (size_t shift = 0; shift < versionBytes; ++shift)
+        result.version |= static_cast<uint64_t>(static_cast<uint8_t>(payload[shift])) << (8 * shift);
+    result.bytes = payload.substr(versionBytes);
+    return result;
+}
+
+absl::StatusOr<bool> document_register::apply(std::string_view payload)
+{
+    auto document = versioned_document::decode(payload);
+    if (!document.ok())
+        return document.status();
+    if (document->version <= m_current.version)
+        return false;
+    m_current = *std::move(document);
+    return true;
+}
+
+absl::Status document_register::restore(std::string_view data)
+{
+    auto document = versioned_document::decode(data);
+    if (!document.ok())
+        return document.status();
+    m_current = *std::move(document);
+    return absl::OkStatus();
+}
+
+} // namespace bilberryyard
--- a/Libraries/Consensus/consensus_member.h
+++ b/Libraries/Consensus/consensus_member.h
@@ -148,6 +148,10 @@
     /// @return Why the member has stopped; ok while it runs.
     absl::Status const& failure() const { return m_failure; }
 
+    /// @param id Another member.
+    /// @return When a leader last had contact with it; nothing when this is no leader or it is no member.
+    std::optional<monotonic_time> lastContact(member_id id) const;
+
     /// @param now The time.
     /// @return How long ago the applied state was known to be current; nothing when it has not been since the start.
     std::optional<duration> dataAge(monotonic_time now) const;
--- a/Libraries/Consensus/consensus_member_requests.h
+++ b/Libraries/Consensus/consensus_member_requests.h
@@ -321,6 +321,15 @@
     return std::max(now - *current, duration::zero());
 }
 
+template <typename Policy>
+std::optional<monotonic_time> consensus_member<Policy>::lastContact(member_id id) const
+{
+    auto const peer = m_peers.find(id);
+    if (m_role != consensus_role::Leader || peer == m_peers.end())
+        return std::nullopt;
+    return peer->second.lastContact();
+}
+
 template <typename Policy>
 duration consensus_member<Policy>::randomElectionTimeout()
 {
--- /dev/null
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -0,0 +1,262 @@
+#include <Fleet/fleet_codec.h>
+
+#include <Base/error_kind.h>
+#include <Messages/fleet.pb.h>
+#include <algorithm>
+
+namespace bilberryyard {
+
+namespace {
+
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+
+    uint32_t toMilliseconds(duration value)
+    {
+        auto const count = duration_cast<milliseconds>(value).count();
+        return static_cast<uint32_t>(std::clamp<int64_t>(count, 0, UINT32_MAX));
+    }
+
+    absl::StatusOr<uint16_t> toPort(uint32_t value)
+    {
+        if (value > UINT16_MAX)
+            return makeError(error_kind::InvalidArgument, "port " + std::to_string(value) + " is out of range");
+        return static_cast<uint16_t>(value);
+    }
+
+    void write(wire::HostRecord& target, fleet_host const& host)
+    {
+        target.set_address(host.peer.address.toIpv4());
+        target.set_peer_port(host.peer.port);
+        target.set_role(static_cast<uint32_t>(host.role));
+        target.set_zone(host.zone);
+        target.set_name(host.name);
+        target.set_age_ms(toMilliseconds(host.age));
+        target.set_control_port(host.controlPort);
+    }
+
+    absl::StatusOr<fleet_host> read(wire::HostRecord const& source)
+    {
+        auto const peerPort = toPort(source.peer_port());
+        if (!peerPort.ok())
+            return peerPort.status();
+        auto const controlPort = toPort(source.control_port());
+        if (!controlPort.ok())
+            return controlPort.status();
+        if (source.role() != static_cast<uint32_t>(host_role::Balancer)
+            && source.role() != static_cast<uint32_t>(host_role::Control))
+            return makeError(error_kind::InvalidArgument, "host role " + std::to_string(source.role()) + " is unknown");
+        return fleet_host { { ip_address::fromIpv4(source.address()), *peerPort }, host_role { uint8_t(source.role()) },
+            source.zone(), source.name(), *controlPort, milliseconds(source.age_ms()) };
+    }
+
+    void write(wire::BackendRecord& target, aged_announcement const& record)
+    {
+        auto const& announcement = record.announcement;
+        target.set_id(announcement.id);
+        target.set_tag(announcement.tag);
+        target.set_service(announcement.service);
+        target.set_address(announcement.address.address.toIpv4());
+        target.set_port(announcement.address.port);
+        target.set_zone(announcement.zone);
+        target.set_version(announcement.version);
+        target.set_slots(announcement.slots);
+        target.set_state(static_cast<uint32_t>(announcement.state));
+        target.set_started_at_ms(announcement.startedAtMs);
+        target.set_sequence(announcement.sequence);
+        target.set_warm_up_left_ms(toMilliseconds(announcement.warmUpLeft));
+        target.set_age_ms(toMilliseconds(record.age));
+    }
+
+    absl::StatusOr<aged_announcement> read(wire::BackendRecord const& source)
+    {
+        auto const port = toPort(source.port());
+        if (!port.ok())
+            return port.status();
+        if (source.state() < 1 || source.state() > static_cast<uint32_t>(backend_state::Gone))
+            return makeError(
+                error_kind::InvalidArgument, "backend state " + std::to_string(source.state()) + " is unknown");
+        aged_announcement result;
+        result.announcement = { source.id(), source.tag(), source.service(),
+            { ip_address::fromIpv4(source.address()), *port }, source.zone(), source.version(), source.slots(),
+            backend_state { uint8_t(source.state()) }, source.started_at_ms(), source.sequence(),
+            milliseconds(source.warm_up_left_ms()) };
+        result.age = milliseconds(source.age_ms());
+        return result;
+    }
+
+    void write(wire::FleetMessage& target, hello_message const& message)
+    {
+        auto& hello = *target.mutable_hello();
+        write(*hello.mutable_host(), message.host);
+        hello.set_configuration_version(message.configurationVersion);
+        hello.set_directory_epoch(message.directoryEpoch);
+        hello.set_directory_revision(message.directoryRevision);
+    }
+
+    void write(wire::FleetMessage& target, welcome_message const& message)
+    {
+        auto& welcome = *target.mutable_welcome();
+        for (auto const& host : message.hosts)
+            write(*welcome.add_hosts(), host);
+        welcome.set_configuration_version(message.configurationVersion);
+        welcome.set_uptime_ms(toMilliseconds(message.uptime));
+    }
+
+    void write(wire::FleetMessage& target, directory_update const& message)
+    {
+        auto& update = *target.mutable_directory();
+        update.set_epoch(message.epoch);
+        update.set_from_revision(message.fromRevision);
+        update.set_to_revision(message.toRevision);
+        for (auto const& record : message.records)
+            write(*update.add_records(), record);
+        for (auto const token : message.renewed)
+            update.add_renewed(token);
+    }
+
+    void write(wire::FleetMessage& target, route_table const& message)
+    {
+        auto& update = *target.mutable_routes();
+        update.set_version(message.version);
+        update.set_idle_timeout_ms(toMilliseconds(message.idleTimeout));
+        for (auto const& service : message.services) {
+            update.add_services(service.name);
+            update.add_maximum_connections(service.maximumConnections);
+        }
+        for (auto const& [address, route] : message.routes) {
+            auto& record = *update.add_routes();
+            record.set_address(address.address.toIpv4());
+            record.set_port(address.port);
+            record.set_kind(static_cast<uint32_t>(route.kind));
+            record.set_target_latency_ms(toMilliseconds(route.targetLatency));
+            record.set_priority(route.priority);
+            record.set_timeout_ms(toMilliseconds(route.timeout));
+            for (auto const& [service, weight] : route.services) {
+                record.add_services(service);
+                record.add_weights(weight);
+            }
+        }
+    }
+
+    void write(wire::FleetMessage& target, control_envelope const& message) { target.set_control(message.bytes); }
+
+    void write(wire::FleetMessage& target, join_request const& message)
+    {
+        write(*target.mutable_join()->mutable_host(), message.host);
+        target.mutable_join()->set_token(message.token);
+    }
+
+    absl::StatusOr<fleet_message> read(wire::Hello const& source)
+    {
+        auto host = read(source.host());
+        if (!host.ok())
+            return host.status();
+        return hello_message { *std::move(host), source.configuration_version(), source.directory_epoch(),
+            source.directory_revision() };
+    }
+
+    absl::StatusOr<fleet_message> read(wire::Welcome const& source)
+    {
+        welcome_message result;
+        for (auto const& record : source.hosts()) {
+            auto host = read(record);
+            if (!host.ok())
+                return host.status();
+            result.hosts.push_back(*std::move(host));
+        }
+        result.configurationVersion = source.configuration_version();
+        result.uptime = milliseconds(source.uptime_ms());
+        return result;
+    }
+
+    absl::StatusOr<fleet_message> read(wire::DirectoryUpdate const& source)
+    {
+        directory_update result { source.epoch(), source.from_revision(), source.to_revision(), {}, {} };
+        for (auto const& record : source.records()) {
+            auto announcement = read(record);
+            if (!announcement.ok())
+                return announcement.status();
+            result.records.push_back(*std::move(announcement));
+        }
+        result.renewed.assign(source.renewed().begin(), source.renewed().end());
+        return result;
+    }
+
+    absl::StatusOr<service_route> read(wire::RouteRecord const& source, size_t serviceCount)
+    {
+        if (source.services_size() != source.weights_size())
+            return makeError(error_kind::InvalidArgument, "a route has a different number of services and weights");
+        if (source.kind() < 1 || source.kind() > static_cast<uint32_t>(request_kind::Download))
+            return makeError(
+                error_kind::InvalidArgument, "request kind " + std::to_string(source.kind()) + " is unknown");
+        service_route route { request_kind { uint8_t(source.kind()) }, milliseconds(source.target_latency_ms()),
+            milliseconds(source.timeout_ms()), source.priority(), {} };
+        for (int index = 0; index < source.services_size(); ++index) {
+            if (source.services(index) >= serviceCount)
+                return makeError(error_kind::InvalidArgument, "a route names a service that the update lacks");
+            route.services.push_back({ source.services(index), source.weights(index) });
+        }
+        return route;
+    }
+
+    absl::StatusOr<fleet_message> read(wire::RouteUpdate const& source)
+    {
+        if (source.services_size() != source.maximum_connections_size())
+            return makeError(error_kind::InvalidArgument, "an update has services without a connection limit");
+        route_table result;
+        result.version = source.version();
+        result.idleTimeout = milliseconds(source.idle_timeout_ms());
+        for (int index = 0; index < source.services_size(); ++index)
+            result.services.push_back({ source.services(index), source.maximum_connections(index) });
+        for (auto const& record : source.routes()) {
+            auto const port = toPort(record.port());
+            if (!port.ok())
+                return port.status();
+            auto route = read(record, result.services.size());
+            if (!route.ok())
+                return route.status();
+            result.routes.emplace(
+                ip_endpoint { ip_address::fromIpv4(record.address()), *port }, *std::move(route));
+        }
+        return result;
+    }
+
+} // namespace
+
+std::string encodeFleetMessage(fleet_message const& message)
+{
+    wire::FleetMessage target;
+    std::visit([&](auto const& body) { write(target, body); }, message);
+    return target.SerializeAsString();
+}
+
+absl::StatusOr<fleet_message> decodeFleetMessage(std::string_view bytes)
+{
+    wire::FleetMessage source;
+    if (bytes.size() > INT32_MAX || !source.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return makeError(error_kind::InvalidArgument, "the bytes are no message between daemons");
+    switch (source.body_case()) {
+    case wire::FleetMessage::kHello:
+        return read(source.hello());
+    case wire::FleetMessage::kWelcome:
+        return read(source.welcome());
+    case wire::FleetMessage::kDirectory:
+        return read(source.directory());
+    case wire::FleetMessage::kRoutes:
+        return read(source.routes());
+    case wire::FleetMessage::kControl:
+        return control_envelope { source.control() };
+    case wire::FleetMessage::kJoin: {
+        auto host = read(source.join().host());
+        if (!host.ok())
+            return host.status();
+        return join_request { *std::move(host), source.join().token() };
+    }
+    case wire::FleetMessage::BODY_NOT_SET:
+        break;
+    }
+    return makeError(error_kind::InvalidArgument, "the message is empty or of a kind that this version lacks");
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Kernel/wake_signal.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+namespace bilberryyard {
+
+/// Wakes a thread that waits in poll(2). Raised from any thread.
+class wake_signal {
+public:
+    /// @return The signal; ResourceExhausted without a free descriptor.
+    static absl::StatusOr<wake_signal> create();
+
+    wake_signal(wake_signal&& other) noexcept;
+    wake_signal& operator=(wake_signal&& other) noexcept;
+    wake_signal(wake_signal const&) = delete;
+    wake_signal& operator=(wake_signal const&) = delete;
+    ~wake_signal();
+
+    /// Makes descriptor() readable.
+    void raise() const;
+    /// Makes descriptor() unreadable again.
+    void clear() const;
+    int descriptor() const { return m_descriptor; }
+
+private:
+    explicit wake_signal(int descriptor);
+
+    int m_descriptor = -1;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Placement/backend_pool.cpp
@@ -0,0 +1,203 @@
+#include <Placement/backend_pool.h>
+
+#include <Base/hashing.h>
+#include <algorithm>
+#include <cmath>
+
+namespace bilberryyard {
+
+namespace {
+
+    // Spreads flows over servers whose costs differ by less than anything that matters.
+    constexpr double tieBreak = 0.02;
+    constexpr double usualGain = 0.02;
+
+    double seconds(duration value) { return std::chrono::duration<double>(value).count(); }
+
+} // namespace
+
+backend_pool::backend_pool(placement_settings const& settings, std::string zone, uint64_t seed)
+    : m_settings(settings)
+    , m_zone(std::move(zone))
+    , m_seed(seed)
+{
+}
+
+void backend_pool::update(backend_entry const& entry, monotonic_time now)
+{
+    auto const token = flowToken(entry.announcement.id);
+    auto& backend = m_backends[token];
+    bool const isNew = backend.token == noToken;
+    bool const serviceChanged = !isNew && backend.entry.announcement.service != entry.announcement.service;
+    bool const restarted = !isNew && backend.entry.announcement.startedAtMs != entry.announcement.startedAtMs;
+    if (serviceChanged)
+        std::erase(m_services[backend.entry.announcement.service], token);
+    if (isNew || serviceChanged)
+        m_services[entry.announcement.service].push_back(token);
+    backend.token = token;
+    backend.entry = entry;
+    backend.warmAt = now + entry.announcement.warmUpLeft;
+    if (restarted) {
+        backend.load.unanswered = 0;
+        backend.load.ejectedUntil = {};
+        backend.load.ejections = 0;
+    }
+}
+
+void backend_pool::renew(uint32_t token, monotonic_time heardAt)
+{
+    if (auto* const backend = find(token))
+        backend->entry.heardAt = std::max(backend->entry.heardAt, heardAt);
+}
+
+void backend_pool::remove(std::string const& id)
+{
+    auto const backend = m_backends.find(flowToken(id));
+    if (backend == m_backends.end())
+        return;
+    std::erase(m_services[backend->second.entry.announcement.service], backend->first);
+    m_backends.erase(backend);
+}
+
+pooled_backend* backend_pool::find(uint32_t token)
+{
+    auto const backend = m_backends.find(token);
+    return backend == m_backends.end() ? nullptr : &backend->second;
+}
+
+size_t backend_pool::readyCount(std::string const& service) const
+{
+    auto const tokens = m_services.find(service);
+    if (tokens == m_services.end())
+        return 0;
+    return static_cast<size_t>(std::count_if(tokens->second.begin(), tokens->second.end(), [&](uint32_t token) {
+        return m_backends.at(token).entry.announcement.state == backend_state::Ready;
+    }));
+}
+
+bool backend_pool::meets(pooled_backend const& backend, demand level, monotonic_time now) const
+{
+    auto const state = backend.entry.announcement.state;
+    if (level == demand::JustLeaving)
+        return state == backend_state::Draining && now - backend.entry.leavingSince <= m_settings.handshakeLimit;
+    if (state != backend_state::Ready)
+        return false;
+    if (level == demand::Ready)
+        return true;
+    if (m_health == directory_health::Fresh && now - backend.entry.heardAt > m_settings.silenceLimit)
+        return false;
+    return level == demand::Announced || backend.load.ejectedUntil <= now;
+}
+
+bool backend_pool::mayRepeatHandshake(pooled_backend const& backend, monotonic_time now) const
+{
+    bool const isSilent = backend.load.unanswered > 0 && now - backend.load.answeredAt > m_settings.answerGap;
+    if (isSilent || backend.load.ejectedUntil > now)
+        return false;
+    switch (backend.entry.announcement.state) {
+    case backend_state::Ready:
+        return true;
+    case backend_state::Draining:
+        return now - backend.entry.leavingSince <= m_settings.handshakeLimit;
+    case backend_state::Gone:
+        break;
+    }
+    return false;
+}
+
+double backend_pool::slowness(pooled_backend const& backend, monotonic_time now) const
+{
+    auto const age = seconds(now - backend.load.slownessAt) / seconds(m_settings.slownessHalfLife);
+    auto const observed = 1 + (backend.load.slowness - 1) * std::exp2(-age);
+    return now < backend.warmAt ? std::max(observed, m_settings.warmUpSlowness) : observed;
+}
+
+double backend_pool::cost(pooled_backend const& backend, request_kind kind, monotonic_time now)
+{
+    auto const& load = backend.load;
+    auto const requests = 1 + load.busy + load.opening + m_settings.idleFlowWeight * load.open;
+    auto const slots = std::max<uint32_t>(backend.entry.announcement.slots, 1);
+    auto value = requests / slots * slowness(backend, now);
+    if (backend.entry.announcement.zone != m_zone)
+        value += kind == request_kind::Download ? m_settings.remoteZoneDownloadCost : m_settings.remoteZoneCost;
+    auto const draw = static_cast<double>(hashPair(m_seed, ++m_drawn) % 1024) / 1024;
+    return value + tieBreak * draw;
+}
+
+pooled_backend* backend_pool::select(std::string const& service, request_kind kind, monotonic_time now)
+{
+    auto const tokens = m_services.find(service);
+    if (tokens == m_services.end())
+        return nullptr;
+    for (auto const level : { demand::Healthy, demand::Announced, demand::Ready, demand::JustLeaving }) {
+        pooled_backend* best = nullptr;
+        double bestCost = 0;
+        for (auto const token : tokens->second) {
+            auto& backend = m_backends.at(token);
+            if (!meets(backend, level, now))
+                continue;
+            auto const value = cost(backend, kind, now);
+            if (best && value >= bestCost)
+                continue;
+            best = &backend;
+            bestCost = value;
+        }
+        if (best)
+            return best;
+    }
+    return nullptr;
+}
+
+void backend_pool::noteAnswer(pooled_backend& backend, monotonic_time now)
+{
+    backend.load.answeredAt = now;
+    backend.load.unanswered = 0;
+    backend.load.ejections = 0;
+    backend.load.ejectedUntil = {};
+}
+
+void backend_pool::noteResponseTime(pooled_backend& backend, duration time, monotonic_time now)
+{
+    auto const sample = seconds(time);
+    auto& usual = m_usualSeconds[backend.entry.announcement.service];
+    usual = usual == 0 ? sample : usual + usualGain * (sample - usual);
+    if (usual <= 0)
+        return;
+    auto const ratio = std::clamp(sample / usual, 0.2, m_settings.largestSlowness);
+    auto const current = slowness(backend, now);
+    backend.load.slowness = current + m_settings.slownessGain * (ratio - current);
+    backend.load.slownessAt = now;
+}
+
+bool backend_pool::mayEject(std::string const& service, monotonic_time now) const
+{
+    auto const& tokens = m_services.at(service);
+    size_t ready = 0;
+    size_t ejected = 0;
+    for (auto const token : tokens) {
+        auto const& backend = m_backends.at(token);
+        if (backend.entry.announcement.state != backend_state::Ready)
+            continue;
+        ++ready;
+        ejected += backend.load.ejectedUntil > now ? 1 : 0;
+    }
+    return static_cast<double>(ejected + 1) <= m_settings.ejectionCap * static_cast<double>(ready);
+}
+
+void backend_pool::noteUnanswered(pooled_backend& backend, monotonic_time since, monotonic_time now)
+{
+    // A server that answered others meanwhile lost only this packet.
+    if (backend.load.answeredAt > since)
+        return;
+    if (++backend.load.unanswered < m_settings.ejectAfter || backend.load.ejectedUntil > now)
+        return;
+    if (!mayEject(backend.entry.announcement.service, now))
+        return;
+    auto const doublings = std::min<uint32_t>(backend.load.ejections, 8);
+    backend.load.ejectedUntil
+        = now + std::min<duration>(m_settings.firstEjection * (1 << doublings), m_settings.longestEjection);
+    ++backend.load.ejections;
+    backend.load.unanswered = 0;
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Placement/caller_packet.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <Packet/ip_endpoint.h>
+#include <Placement/flow_token.h>
+#include <compare>
+#include <cstdint>
+
+namespace bilberryyard {
+
+/// The two ends of a flow.
+struct flow_ends {
+    ip_endpoint caller;
+    /// The virtual address and port that the caller connects to.
+    ip_endpoint service;
+    auto operator<=>(flow_ends const&) const = default;
+};
+
+enum class packet_purpose : uint8_t {
+    /// Opens a flow (SYN without ACK).
+    Open,
+    Continue,
+    Finish,
+    /// The caller gives the flow up.
+    Abort,
+};
+
+/// A packet from a caller, as far as forwarding depends on it.
+struct caller_packet {
+    flow_ends ends;
+    packet_purpose purpose = packet_purpose::Continue;
+    uint32_t token = noToken;
+    uint32_t sequence = 0;
+    uint32_t acknowledgement = 0;
+    uint32_t payloadBytes = 0;
+    /// For Open: how often the caller has sent it before.
+    uint32_t copies = 0;
+    auto operator<=>(caller_packet const&) const = default;
+};
+
+} // namespace bilberryyard
+
+template <>
+struct std::hash<bilberryyard::flow_ends> {
+    size_t operator()(bilberryyard::flow_ends const& ends) const noexcept;
+};
--- /dev/null
+++ b/Libraries/Placement/placement_settings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <Base/monotonic_time.h>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+namespace bilberryyard {
+
+/// Weights and limits of placement.
+struct placement_settings {
+    /// A server that no control host has heard for longer gets no new flows: three announcements.
+    duration silenceLimit = std::chrono::milliseconds(3'000);
+    /// A leaving server gets no new flows; repeated packets of a handshake that began earlier still go there for
+    /// this time, the longest time that a caller repeats them.
+    duration handshakeLimit = std::chrono::milliseconds(1'400);
+    /// A server that has answered nobody for longer while a handshake had to be repeated loses that handshake.
+    duration answerGap = std::chrono::milliseconds(300);
+    /// Repeated handshakes without any answer after which a server is ejected. One may be a lost packet.
+    uint32_t ejectAfter = 2;
+    duration firstEjection = std::chrono::milliseconds(1'000);
+    duration longestEjection = std::chrono::milliseconds(8'000);
+    /// Share of a service's servers that may be ejected on evidence; with more, the path is at fault.
+    double ejectionCap = 0.5;
+    /// What a flow without a request costs, in requests: callers pause between requests on a long flow.
+    double idleFlowWeight = 0.05;
+    /// What leaving the own availability zone costs, in requests per slot.
+    double remoteZoneCost = 0.25;
+    /// The same for downloads, whose bytes between zones cost more than a short wait.
+    double remoteZoneDownloadCost = 1.5;
+    /// How much slower a server counts while it warms up.
+    double warmUpSlowness = 1.6;
+    /// Weight of a new sample of a server's response time.
+    double slownessGain = 0.3;
+    double largestSlowness = 8;
+    /// An estimate of slowness halves its distance to 1 in this time, so that a server gets another chance.
+    duration slownessHalfLife = std::chrono::milliseconds(2'500);
+    /// A request without an answer counts as given up after this time.
+    duration requestLimit = std::chrono::milliseconds(10'000);
+    /// Flows that are observed at a time; further ones are forwarded without being observed.
+    size_t maximumObservedFlows = 65'536;
+    auto operator<=>(placement_settings const&) const = default;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Placement/route_table.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <Base/monotonic_time.h>
+#include <Packet/ip_endpoint.h>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bilberryyard {
+
+/// What the requests of a route are, as far as balancing depends on it.
+enum class request_kind : uint8_t {
+    Idempotent = 1,
+    /// May run once at most.
+    NonIdempotent = 2,
+    /// Idempotent, with a large response.
+    Download = 3,
+};
+
+struct weighted_service {
+    /// Index into route_table::services.
+    uint32_t service = 0;
+    uint32_t weight = 1;
+    auto operator<=>(weighted_service const&) const = default;
+};
+
+/// Where new flows to one virtual address go.
+struct service_route {
+    request_kind kind = request_kind::Idempotent;
+    duration targetLatency {};
+    duration timeout {};
+    /// 0 is the most important.
+    uint32_t priority = 0;
+    std::vector<weighted_service> services;
+    auto operator<=>(service_route const&) const = default;
+};
+
+struct routed_service {
+    std::string name;
+    uint32_t maximumConnections = 0;
+    auto operator<=>(routed_service const&) const = default;
+};
+
+/// One version of the routes, as balancers hold it.
+struct route_table {
+    uint64_t version = 0;
+    std::vector<routed_service> services;
+    std::map<ip_endpoint, service_route> routes;
+    /// Flows without a packet for longer may be discarded.
+    duration idleTimeout = std::chrono::seconds(15);
+    auto operator<=>(route_table const&) const = default;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Libraries/Placement/token_router.cpp
@@ -0,0 +1,96 @@
+#include <Placement/token_router.h>
+
+#include <Base/hashing.h>
+#include <numeric>
+
+namespace bilberryyard {
+
+namespace {
+
+    forward_packet forwardTo(pooled_backend const& backend)
+    {
+        return { backend.token, backend.entry.announcement.tag, backend.entry.announcement.address };
+    }
+
+} // namespace
+
+token_router::token_router(placement_settings const& settings, std::string const& zone, uint64_t seed)
+    : m_pool(settings, zone, seed)
+    , m_observer(settings, m_pool)
+    , m_seed(seed)
+{
+}
+
+bool token_router::setRoutes(std::shared_ptr<route_table const> table)
+{
+    if (m_routes && table->version <= m_routes->version)
+        return false;
+    m_routes = std::move(table);
+    return true;
+}
+
+std::string const& token_router::chooseService(service_route const& route)
+{
+    auto const& services = m_routes->services;
+    uint64_t total = 0;
+    for (auto const& target : route.services)
+        total += target.weight;
+    if (total == 0)
+        return services.at(route.services.front().service).name;
+    auto point = hashPair(m_seed, ++m_drawn) % total;
+    for (auto const& target : route.services) {
+        if (point < target.weight)
+            return services.at(target.service).name;
+        point -= target.weight;
+    }
+    return services.at(route.services.back().service).name;
+}
+
+packet_decision token_router::open(caller_packet const& packet, monotonic_time now)
+{
+    if (!m_routes)
+        return drop_packet { drop_reason::NoConfiguration };
+    auto const route = m_routes->routes.find(packet.ends.service);
+    if (route == m_routes->routes.end() || route->second.services.empty())
+        return reset_flow { reset_reason::NoRoute };
+    if (packet.copies > 0)
+        m_observer.repeated(packet, now);
+    // Two servers that answer one handshake would leave the caller with two tokens. The first one keeps the flow
+    // unless it has stopped answering everybody.
+    auto* backend = m_pool.find(m_observer.handshakeServer(packet.ends));
+    if (!backend || !m_pool.mayRepeatHandshake(*backend, now))
+        backend = m_pool.select(chooseService(route->second), route->second.kind, now);
+    if (!backend) {
+        m_observer.closed(packet.ends);
+        return reset_flow { reset_reason::NoServer };
+    }
+    m_observer.opened(packet, backend->token, now);
+    return forwardTo(*backend);
+}
+
+packet_decision token_router::decide(caller_packet const& packet, monotonic_time now)
+{
+    if (packet.purpose == packet_purpose::Open)
+        return open(packet, now);
+    auto const token = packet.token != noToken ? packet.token : m_observer.handshakeServer(packet.ends);
+    if (token == noToken)
+        return drop_packet { drop_reason::NoToken };
+    auto* const backend = m_pool.find(token);
+    if (!backend)
+        return drop_packet { drop_reason::UnknownToken };
+    if (backend->entry.announcement.state == backend_state::Gone) {
+        m_observer.closed(packet.ends);
+        if (packet.purpose == packet_purpose::Abort)
+            return drop_packet { drop_reason::UnknownToken };
+        return reset_flow { reset_reason::ServerGone };
+    }
+    m_observer.observed(packet, now);
+    return forwardTo(*backend);
+}
+
+void token_router::sweep(monotonic_time now)
+{
+    m_observer.sweep(now, m_routes ? m_routes->idleTimeout : duration(std::chrono::seconds(15)));
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Fleet/balancer_control.cpp
@@ -0,0 +1,182 @@
+#include "balancer_control.h"
+
+#include <Base/error_kind.h>
+#include <Fleet/fleet_codec.h>
+#include <algorithm>
+
+namespace bilberryyard {
+
+namespace {
+
+    constexpr duration greetInterval = std::chrono::milliseconds(700);
+    // A balancer that cannot serve yet asks more often.
+    constexpr duration startInterval = std::chrono::milliseconds(150);
+    // Three greetings without an answer.
+    constexpr duration silenceLimit = std::chrono::milliseconds(2'200);
+    constexpr duration hostLimit = std::chrono::seconds(60);
+
+} // namespace
+
+balancer_control::balancer_control(
+    fleet_settings const& settings, peer_channel& channel, token_router& router, monotonic_time now)
+    : m_settings(settings)
+    , m_channel(channel)
+    , m_router(router)
+    , m_hosts({ settings.address, settings.peerPort })
+    , m_startedAt(now)
+{
+    setSeeds(settings.seeds);
+}
+
+void balancer_control::setSeeds(std::vector<ip_endpoint> const& seeds)
+{
+    m_settings.seeds = seeds;
+    for (auto const& seed : seeds)
+        m_links.try_emplace({ seed.address, m_settings.peerPort });
+}
+
+void balancer_control::receive(ip_endpoint const& sender, fleet_message const& message, monotonic_time now)
+{
+    std::visit([&](auto const& body) { handle(sender, body, now); }, message);
+}
+
+void balancer_control::handle(ip_endpoint const& sender, welcome_message const& message, monotonic_time now)
+{
+    for (auto const& host : message.hosts) {
+        if (host.role != host_role::Control)
+            continue;
+        auto heard = host;
+        if (host.peer == sender)
+            heard.age = {};
+        m_hosts.learn(heard, now);
+        m_links.try_emplace(host.peer);
+    }
+    auto& link = m_links[sender];
+    if (link.heardAt == monotonic_time() || link.isSilent) {
+        auto const* const host = m_hosts.find(sender);
+        link.name = host ? host->host.name : sender.toText();
+        m_logger.emit(events::hostHeard, "host=" + link.name + " peer=" + sender.toText());
+    }
+    link.isSilent = false;
+    link.heardAt = now;
+    // Every server announces itself once in this time, and a second time should the first call have failed.
+    link.completeAt = now - message.uptime + 2 * m_settings.announcementInterval;
+}
+
+void balancer_control::handle(ip_endpoint const& sender, directory_update const& message, monotonic_time now)
+{
+    auto& link = m_links[sender];
+    link.heardAt = now;
+    for (auto const& record : message.records) {
+        auto const& id = record.announcement.id;
+        auto const effect = m_directory.apply(record.announcement, now - record.age, now);
+        m_idsByToken[flowToken(id)] = id;
+        if (effect == announcement_effect::Renewed)
+            m_router.pool().renew(flowToken(id), now - record.age);
+        if (effect == announcement_effect::Added || effect == announcement_effect::Changed) {
+            takeOver(id, now);
+            m_logger.emit(events::serverAnnounced,
+                "server=" + id + " service=" + record.announcement.service
+                    + " state=" + std::to_string(static_cast<int>(record.announcement.state))
+                    + " sequence=" + std::to_string(record.announcement.sequence) + " age_ms="
+                    + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(record.age).count())
+                    + " from=" + link.name);
+        }
+    }
+    for (auto const token : message.renewed) {
+        auto const id = m_idsByToken.find(token);
+        if (id == m_idsByToken.end())
+            continue;
+        m_directory.renew(id->second, now);
+        m_router.pool().renew(token, now);
+    }
+    bool const continues = link.epoch == message.epoch && message.fromRevision <= link.revision;
+    if (continues || message.fromRevision == 0) {
+        link.revision = link.epoch == message.epoch ? std::max(link.revision, message.toRevision) : message.toRevision;
+        link.epoch = message.epoch;
+    }
+}
+
+void balancer_control::takeOver(std::string const& id, monotonic_time now)
+{
+    auto const* const entry = m_directory.find(id);
+    if (!entry)
+        return;
+    m_router.pool().update(*entry, now);
+    // A later start at the same address ends the earlier one.
+    for (auto const& [otherId, other] : m_directory.entries()) {
+        if (otherId != id && other.announcement.address == entry->announcement.address
+            && other.announcement.state == backend_state::Gone)
+            m_router.pool().update(other, now);
+    }
+}
+
+void balancer_control::handle(ip_endpoint const& sender, route_table const& message, monotonic_time now)
+{
+    m_links[sender].heardAt = now;
+    auto const held = m_router.version();
+    if (!m_router.setRoutes(std::make_shared<route_table const>(message)))
+        return;
+    m_logger.emit(events::configurationInForce,
+        "version=" + std::to_string(message.version) + " before=" + std::to_string(held)
+            + " routes=" + std::to_string(message.routes.size()) + " from=" + m_links[sender].name);
+}
+
+void balancer_control::greet(monotonic_time now)
+{
+    m_greetedAt = now;
+    fleet_host const self { { m_settings.address, m_settings.peerPort }, host_role::Balancer, m_settings.zone,
+        m_settings.name, 0, {} };
+    for (auto const& [peer, link] : m_links)
+        m_channel.send(peer, hello_message { self, m_router.version(), link.epoch, link.revision });
+}
+
+size_t balancer_control::freshControls(monotonic_time now) const
+{
+    return static_cast<size_t>(std::count_if(m_links.begin(), m_links.end(), [&](auto const& item) {
+        return item.second.heardAt != monotonic_time() && now - item.second.heardAt <= silenceLimit;
+    }));
+}
+
+void balancer_control::noteSilence(monotonic_time now)
+{
+    for (auto& [peer, link] : m_links) {
+        if (link.isSilent || link.heardAt == monotonic_time() || now - link.heardAt <= silenceLimit)
+            continue;
+        link.isSilent = true;
+        m_logger.emit(events::hostSilent, "host=" + link.name + " peer=" + peer.toText());
+    }
+    std::erase_if(m_links, [&](auto const& item) {
+        auto const& link = item.second;
+        bool const isSeed = std::any_of(m_settings.seeds.begin(), m_settings.seeds.end(),
+            [&](auto const& seed) { return seed.address == item.first.address; });
+        auto const* const host = m_hosts.find(item.first);
+        return !isSeed && now - link.heardAt > hostLimit && (!host || now - host->heardAt > hostLimit);
+    });
+}
+
+void balancer_control::step(monotonic_time now)
+{
+    if (now < nextDeadline())
+        return;
+    greet(now);
+    noteSilence(now);
+    for (auto const& id : m_directory.expire(now)) {
+        m_idsByToken.erase(flowToken(id));
+        m_router.pool().remove(id);
+    }
+    bool isComplete = false;
+    for (auto const& [peer, link] : m_links) {
+        bool const isHeard = link.heardAt != monotonic_time() && now - link.heardAt <= silenceLimit;
+        isComplete = isComplete || (isHeard && link.epoch != 0 && now >= link.completeAt);
+    }
+    m_hasDirectory = m_hasDirectory || isComplete;
+    m_router.pool().setDirectoryHealth(isComplete ? directory_health::Fresh : directory_health::Stale);
+}
+
+monotonic_time balancer_control::nextDeadline() const
+{
+    return m_greetedAt + (isReady() ? greetInterval : startInterval);
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Fleet/balancer_service.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "balancer_control.h"
+#include "fleet_settings.h"
+#include "packet_format.h"
+#include "peer_channel.h"
+
+#include <Base/boot_clock.h>
+#include <Kernel/metrics_registry.h>
+#include <Kernel/wake_signal.h>
+#include <Placement/token_router.h>
+#include <Transport/datagram_socket.h>
+#include <array>
+#include <atomic>
+#include <memory>
+#include <poll.h>
+#include <random>
+
+namespace bilberryyard {
+
+/// An entry host: forwards packets of callers to backend servers. One thread does all of it: on a fraction of a core
+/// a hand-over between threads costs more than the work.
+/// @tparam Format The wire format of packets.
+template <packet_format Format>
+class balancer_service {
+public:
+    /// @param settings Settings with the role Balancer.
+    /// @param seeds Tells about changed seeds.
+    /// @param metrics Receives metrics; outlives this object.
+    /// @return The service; the error of a socket.
+    static absl::StatusOr<std::unique_ptr<balancer_service>> create(
+        fleet_settings const& settings, seed_source seeds, metrics_registry& metrics);
+
+    /// Runs the service on the calling thread. After isStopping() it reports that it is not ready, and goes on
+    /// forwarding until routers have noticed.
+    void run(std::function<bool()> const& isStopping);
+
+    /// @return Whether callers may be sent here. Called from any thread.
+    bool isReady() const { return m_isReady.load(std::memory_order_relaxed); }
+
+private:
+    /// Largest packet: header and 1,200 bytes of data, with room for other formats.
+    static constexpr size_t maximumPacketBytes = 2'048;
+    /// Packets that are handled before control messages and timers are looked at.
+    static constexpr int packetsPerStep = 128;
+    /// Packets wait here while the process has no processor time.
+    static constexpr int receiveBufferBytes = 1 << 20;
+    static constexpr duration sweepInterval = std::chrono::milliseconds(500);
+    /// Routers ask every 500 ms and give up after two misses; the rest is for packets on their way.
+    static constexpr duration withdrawalTime = std::chrono::milliseconds(2'500);
+
+    balancer_service(fleet_settings const& settings, seed_source seeds, metrics_registry& metrics,
+        datagram_socket packets, peer_channel channel);
+
+    void step();
+    void wait(monotonic_time now);
+    void receiveMessages();
+    void receivePackets();
+    void forward(std::span<uint8_t> packet, caller_packet const& decoded, monotonic_time now);
+    void reset(caller_packet const& packet, reset_reason reason);
+    void maintain(monotonic_time now);
+
+    fleet_settings m_settings;
+    seed_source m_seedSource;
+    metrics_registry& m_metrics;
+    event_logger m_logger { "balancer" };
+    datagram_socket m_packets;
+    peer_channel m_channel;
+    token_router m_router;
+    balancer_control m_control;
+    std::atomic<bool> m_isReady { false };
+    bool m_isWithdrawn = false;
+    monotonic_time m_sweptAt;
+    std::array<uint8_t, Format::prefixBytes + maximumPacketBytes> m_buffer {};
+};
+
+template <packet_format Format>
+absl::StatusOr<std::unique_ptr<balancer_service<Format>>> balancer_service<Format>::create(
+    fleet_settings const& settings, seed_source seeds, metrics_registry& metrics)
+{
+    if (!settings.packets)
+        return makeError(error_kind::InvalidArgument, "a balancer needs an address for packets");
+    auto packets = datagram_socket::create(*settings.packets, receiveBufferBytes);
+    if (!packets.ok())
+        return packets.status();
+    auto channel = peer_channel::create({ settings.address, settings.peerPort });
+    if (!channel.ok())
+        return channel.status();
+    return std::unique_ptr<balancer_service>(new balancer_service(
+        settings, std::move(seeds), metrics, *std::move(packets), *std::move(channel)));
+}
+
+template <packet_format Format>
+balancer_service<Format>::balancer_service(fleet_settings const& settings, seed_source seeds,
+    metrics_registry& metrics, datagram_socket packets, peer_channel channel)
+    : m_settings(settings)
+    , m_seedSource(std::move(seeds))
+    , m_metrics(metrics)
+    , m_packets(std::move(packets))
+    , m_channel(std::move(channel))
+    , m_router({}, settings.zone, std::random_device()())
+    , m_control(settings, m_channel, m_router, bootTime())
+{
+}
+
+template <packet_format Format>
+void balancer_service<Format>::run(std::function<bool()> const& isStopping)
+{
+    while (!isStopping())
+        step();
+    m_isWithdrawn = true;
+    m_isReady = false;
+    auto const end = bootTime() + std::min(withdrawalTime, m_settings.terminationGrace / 2);
+    while (bootTime() < end)
+        step();
+}
+
+template <packet_format Format>
+void balancer_service<Format>::step()
+{
+    auto const now = bootTime();
+    m_control.step(now);
+    if (now - m_sweptAt >= sweepInterval)
+        maintain(now);
+    bool const isReady = m_control.isReady() && !m_isWithdrawn;
+    if (isReady != m_isReady) {
+        m_isReady = isReady;
+        m_logger.emit(events::readinessChanged, isReady ? "ready=yes" : "ready=no");
+    }
+    wait(now);
+    receivePackets();
+    receiveMessages();
+}
+
+template <packet_format Format>
+void balancer_service<Format>::wait(monotonic_time now)
+{
+    auto const deadline = std::min(m_control.nextDeadline(), m_sweptAt + sweepInterval);
+    auto const left = std::chrono::ceil<std::chrono::milliseconds>(std::max(deadline - now, duration::zero())).count();
+    std::array<pollfd, 2> descriptors { pollfd { m_packets.descriptor(), POLLIN, 0 },
+        pollfd { m_channel.descriptor(), POLLIN, 0 } };
+    poll(descriptors.data(), descriptors.size(), static_cast<int>(left));
+}
+
+template <packet_format Format>
+void balancer_service<Format>::receiveMessages()
+{
+    bool isEmpty = false;
+    for (int count = 0; count < packetsPerStep && !isEmpty; ++count) {
+        auto const now = bootTime();
+        if (auto const message = m_channel.receive(now, isEmpty))
+            m_control.receive(message->sender, message->message, now);
+    }
+}
+
+template <packet_format Format>
+void balancer_service<Format>::receivePackets()
+{
+    std::span const room = std::span(m_buffer).subspan(Format::prefixBytes);
+    datagram_socket::received datagram;
+    auto const now = bootTime();
+    for (int count = 0; count < packetsPerStep && m_packets.receive(room, datagram); ++count) {
+        auto const packet = room.first(datagram.size);
+        auto const decoded = Format::parse(packet);
+        if (decoded)
+            forward(packet, *decoded, now);
+        else
+            m_metrics.counter("packets_unreadable_total").add();
+    }
+}
+
+template <packet_format Format>
+void balancer_service<Format>::forward(std::span<uint8_t> packet, caller_packet const& decoded, monotonic_time now)
+{
+    auto const decision = m_router.decide(decoded, now);
+    if (auto const* const target = std::get_if<forward_packet>(&decision)) {
+        if (decoded.purpose == packet_purpose::Open)
+            Format::setToken(packet, target->token);
+        std::span<uint8_t, Format::prefixBytes> const prefix(m_buffer.data(), Format::prefixBytes);
+        Format::writePrefix(prefix, target->tag);
+        m_packets.send(target->address,
+            { reinterpret_cast<char const*>(m_buffer.data()), Format::prefixBytes + packet.size() });
+        return;
+    }
+    if (auto const* const refusal = std::get_if<reset_flow>(&decision)) {
+        reset(decoded, refusal->reason);
+        return;
+    }
+    auto const reason = std::get<drop_packet>(decision).reason;
+    m_metrics.counter("packets_dropped_" + std::to_string(static_cast<int>(reason)) + "_total").add();
+}
+
+template <packet_format Format>
+void balancer_service<Format>::reset(caller_packet const& packet, reset_reason reason)
+{
+    m_metrics.counter("flows_reset_" + std::to_string(static_cast<int>(reason)) + "_total").add();
+    // Callers receive packets at the port at which balancers do.
+    m_packets.send({ packet.ends.caller.address, m_settings.packets->port }, Format::makeReset(packet));
+}
+
+template <packet_format Format>
+void balancer_service<Format>::maintain(monotonic_time now)
+{
+    m_sweptAt = now;
+    m_router.sweep(now);
+    if (auto const seeds = m_seedSource()) {
+        m_control.setSeeds(*seeds);
+        m_logger.emit(events::settingsReloaded, "seeds=" + std::to_string(seeds->size()));
+    }
+    m_metrics.setGauge("balancer_configuration_version", static_cast<double>(m_router.version()));
+    m_metrics.setGauge("balancer_backends", static_cast<double>(m_router.pool().size()));
+    m_metrics.setGauge("balancer_observed_flows", static_cast<double>(m_router.observedFlows()));
+    m_metrics.setGauge("peer_sent_bytes", static_cast<double>(m_channel.sentBytes()));
+    m_metrics.setGauge("peer_received_bytes", static_cast<double>(m_channel.receivedBytes()));
+    m_metrics.setGauge("peer_messages_refused", static_cast<double>(m_channel.refused()));
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Fleet/consensus_group.cpp
@@ -0,0 +1,519 @@
+#include "consensus_group.h"
+
+#include <Base/error_kind.h>
+#include <algorithm>
+#include <random>
+
+namespace bilberryyard {
+
+namespace {
+
+    // Documents have up to a few hundred kilobytes, and a data folder may be limited to 128 MB.
+    constexpr uint64_t entriesPerSnapshot = 64;
+    constexpr uint64_t trailingEntries = 16;
+    constexpr uint64_t segmentBytes = uint64_t { 2 } * 1024 * 1024;
+    constexpr uint64_t appendBytes = uint64_t { 256 } * 1024;
+    constexpr duration planInterval = std::chrono::milliseconds(150);
+    constexpr duration joinInterval = std::chrono::milliseconds(250);
+    // Applicants repeat their request several times in this time.
+    constexpr duration applicantLimit = std::chrono::milliseconds(1'500);
+    constexpr duration reopenDelay = std::chrono::milliseconds(500);
+    // Marks a data folder whose removal is under way: its member was removed from the group.
+    constexpr char const* discardName = "discarded";
+    constexpr char const* tokenName = "join-token";
+
+    consensus_settings groupSettings()
+    {
+        consensus_settings settings;
+        // Each heartbeat wakes a process that has a sixth of a core; a lost leader is still replaced within 3 s.
+        settings.heartbeatInterval = std::chrono::milliseconds(150);
+        settings.electionTimeoutMinimum = std::chrono::milliseconds(900);
+        settings.electionTimeoutMaximum = std::chrono::milliseconds(1'500);
+        settings.lease = std::chrono::milliseconds(700);
+        settings.maximumAppendBytes = appendBytes;
+        settings.snapshotInterval = entriesPerSnapshot;
+        settings.trailingEntries = trailingEntries;
+        settings.promotion = learner_promotion::OnRequest;
+        return settings;
+    }
+
+    uint64_t randomNumber()
+    {
+        std::random_device random;
+        return static_cast<uint64_t>(random()) << 32 | random() | 1;
+    }
+
+} // namespace
+
+consensus_group::consensus_group(fleet_settings const& settings, sender send, wake_signal const& wake)
+    : m_settings(settings)
+    , m_send(std::move(send))
+    , m_wake(wake)
+{
+}
+
+fleet_host consensus_group::self() const
+{
+    return { { m_settings.address, m_settings.peerPort }, host_role::Control, m_settings.zone, m_settings.name,
+        m_settings.control ? m_settings.control->port : uint16_t { 0 }, {} };
+}
+
+void consensus_group::start(monotonic_time now)
+{
+    auto const status = open(now);
+    if (status.ok())
+        return;
+    m_logger.emit(events::storageFailed, messageOf(status));
+    closeMember();
+    m_reopenAt = now + reopenDelay;
+}
+
+void consensus_group::closeMember()
+{
+    m_member.reset();
+    m_storage.reset();
+    m_emptyStorage.reset();
+    m_reopenAt.reset();
+    for (auto const& [token, answer] : std::exchange(m_proposals, {}))
+        answer(refusal(makeError(error_kind::Unavailable, "this host has lost its storage")));
+}
+
+absl::Status consensus_group::open(monotonic_time now)
+{
+    closeMember();
+    m_isRemoved = false;
+    if (auto status = m_files.createFolder(m_settings.dataFolder); !status.ok())
+        return status;
+    if (auto status = finishDiscarding(); !status.ok())
+        return status;
+    auto storage = storage_type::create(m_files, m_settings.dataFolder, { segmentBytes });
+    if (!storage.ok())
+        return storage.status();
+    if (storage->identity())
+        return startMember(*std::move(storage), now);
+    if (m_settings.founding == founding_permission::Granted) {
+        auto const isSeed = std::any_of(m_settings.seeds.begin(), m_settings.seeds.end(),
+            [&](auto const& seed) { return seed.address == m_settings.address; });
+        if (isSeed) {
+            if (auto status = found(*storage); !status.ok())
+                return status;
+            return startMember(*std::move(storage), now);
+        }
+    }
+    m_emptyStorage.emplace(*std::move(storage));
+    return loadToken();
+}
+
+absl::Status consensus_group::found(storage_type& storage)
+{
+    std::vector<std::string> addresses;
+    for (auto const& seed : m_settings.seeds)
+        addresses.push_back(group_address { { seed.address, m_settings.peerPort }, 0 }.toText());
+    auto const group = foundGroup(std::move(addresses));
+    auto const own = group_address { self().peer, 0 }.toText();
+    auto const member = std::find_if(
+        group.members.begin(), group.members.end(), [&](auto const& item) { return item.address == own; });
+    auto const configuration = cluster_configuration::create(group.members);
+    if (!configuration.ok())
+        return configuration.status();
+    m_logger.emit(events::groupFounded,
+        "cluster=" + std::to_string(group.cluster) + " member=" + std::to_string(member->id.value)
+            + " founders=" + std::to_string(group.members.size()));
+    return storage.initialize({ group.cluster, member->id }, *configuration);
+}
+
+absl::Status consensus_group::startMember(storage_type storage, monotonic_time now)
+{
+    auto restored = storage.takeRestored();
+    m_register = {};
+    if (!restored.snapshot->data.empty()) {
+        if (auto status = m_register.restore(restored.snapshot->data); !status.ok())
+            return status;
+    }
+    auto member = consensus_member<>::create(
+        *storage.identity(), groupSettings(), std::move(restored), randomNumber(), now);
+    if (!member.ok())
+        return member.status();
+    m_storage = std::make_unique<storage_duty>(std::move(storage), m_wake);
+    m_member.emplace(*std::move(member));
+    m_loggedRole = consensus_role::Follower;
+    m_logger.emit(events::memberStarted,
+        "member=" + std::to_string(m_member->identity().member.value)
+            + " last_index=" + std::to_string(m_member->lastIndex())
+            + " version=" + std::to_string(m_register.current().version));
+    executeActions(now);
+    return absl::OkStatus();
+}
+
+absl::Status consensus_group::loadToken()
+{
+    auto const content = m_files.read(m_settings.dataFolder + "/" + tokenName);
+    if (content.ok() && content->size() == sizeof(m_token)) {
+        std::copy(content->begin(), content->end(), reinterpret_cast<char*>(&m_token));
+    } else {
+        m_token = randomNumber();
+        std::string const bytes(reinterpret_cast<char const*>(&m_token), sizeof(m_token));
+        if (auto status = replaceFile(m_files, m_settings.dataFolder, tokenName, bytes); !status.ok())
+            return status;
+    }
+    m_logger.emit(events::waitingToBeAdded, "token=" + std::to_string(m_token));
+    return absl::OkStatus();
+}
+
+absl::Status consensus_group::discard()
+{
+    closeMember();
+    if (auto status = replaceFile(m_files, m_settings.dataFolder, discardName, "removed\n"); !status.ok())
+        return status;
+    return finishDiscarding();
+}
+
+absl::Status consensus_group::finishDiscarding()
+{
+    auto const names = m_files.list(m_settings.dataFolder);
+    if (!names.ok())
+        return names.status();
+    if (std::find(names->begin(), names->end(), discardName) == names->end())
+        return absl::OkStatus();
+    for (auto const& name : *names) {
+        if (name == discardName)
+            continue;
+        if (auto status = m_files.remove(m_settings.dataFolder + "/" + name); !status.ok())
+            return status;
+    }
+    if (auto status = m_files.syncFolder(m_settings.dataFolder); !status.ok())
+        return status;
+    if (auto status = m_files.remove(m_settings.dataFolder + "/" + discardName); !status.ok())
+        return status;
+    return m_files.syncFolder(m_settings.dataFolder);
+}
+
+void consensus_group::receive(control_message const& message, ip_endpoint const& from, monotonic_time now)
+{
+    std::visit([&](auto const& body) { handle(from, body, now); }, message.body);
+    if (m_member)
+        executeActions(now);
+}
+
+void consensus_group::handle(ip_endpoint const& from, consensus_message const& message, monotonic_time now)
+{
+    m_peersOfMembers[message.sender] = from;
+    if (m_member)
+        m_member->receive(message, now);
+}
+
+void consensus_group::handle(ip_endpoint const&, join_identity const& message, monotonic_time now)
+{
+    if (!m_emptyStorage || message.token != m_token)
+        return;
+    auto status = m_emptyStorage->initialize(message.identity, {});
+    if (status.ok()) {
+        auto storage = *std::move(m_emptyStorage);
+        m_emptyStorage.reset();
+        status = startMember(std::move(storage), now);
+    }
+    if (status.ok())
+        return;
+    m_logger.emit(events::storageFailed, messageOf(status));
+    closeMember();
+    m_reopenAt = now + reopenDelay;
+}
+
+void consensus_group::receive(join_request const& request, monotonic_time now)
+{
+    auto const address = group_address { request.host.peer, request.token }.toText();
+    m_applicants[request.host.peer] = { { address, request.host.peer.toText() }, request.host.peer, now };
+    m_plannedAt = {};
+}
+
+void consensus_group::executeActions(monotonic_time now)
+{
+    // Completing a request gives further actions.
+    for (auto actions = m_member->takeActions(now); !actions.empty(); actions = m_member->takeActions(now)) {
+        for (auto const& action : actions)
+            std::visit([&](auto const& value) { perform(value, now); }, action);
+    }
+    if (m_member->role() == m_loggedRole)
+        return;
+    m_loggedRole = m_member->role();
+    m_logger.emit(events::memberRoleChanged,
+        "condition=" + std::string(condition()) + " term=" + std::to_string(m_member->term())
+            + " commit_index=" + std::to_string(m_member->commitIndex()));
+}
+
+void consensus_group::perform(send_message const& action, monotonic_time)
+{
+    auto const receiver = action.message.receiver;
+    if (auto const address = addressOf(receiver))
+        return sendControl(address->peer, action.message);
+    auto const known = m_peersOfMembers.find(receiver);
+    if (known != m_peersOfMembers.end())
+        sendControl(known->second, action.message);
+}
+
+void consensus_group::perform(persist_request const& action, monotonic_time) { m_storage->submit(action); }
+
+void consensus_group::perform(apply_entries const& action, monotonic_time now)
+{
+    for (auto const& entry : action.entries) {
+        if (entry.kind != entry_kind::Application)
+            continue;
+        auto const applied = m_register.apply(entry.payload);
+        if (!applied.ok()) {
+            m_logger.emit(events::storageFailed, messageOf(applied.status()));
+            m_member->persistFailed(applied.status(), now);
+            return;
+        }
+        m_logger.emit(events::documentApplied,
+            "index=" + std::to_string(entry.index) + " version=" + std::to_string(m_register.current().version)
+                + " outcome=" + (*applied ? "in_force" : "not_higher"));
+    }
+}
+
+void consensus_group::perform(install_snapshot const& action, monotonic_time now)
+{
+    // A founding snapshot has no state.
+    if (action.snapshot->data.empty())
+        return;
+    if (auto const status = m_register.restore(action.snapshot->data); !status.ok()) {
+        m_logger.emit(events::storageFailed, messageOf(status));
+        m_member->persistFailed(status, now);
+    }
+}
+
+void consensus_group::perform(take_snapshot const& action, monotonic_time now)
+{
+    m_member->snapshotTaken(action.index, m_register.snapshot(), now).IgnoreError();
+}
+
+void consensus_group::perform(proposal_answer const& action, monotonic_time)
+{
+    auto const proposal = m_proposals.find(action.token);
+    if (proposal == m_proposals.end())
+        return;
+    auto const answer = std::move(proposal->second);
+    m_proposals.erase(proposal);
+    if (action.outcome == proposal_outcome::Accepted)
+        answer({ absl::OkStatus(), {}, std::nullopt });
+    else
+        answer(refusal(action.status));
+}
+
+void consensus_group::perform(read_answer const& action, monotonic_time)
+{
+    if (action.status.ok())
+        m_readAnswer = { absl::OkStatus(), m_register.current(), std::nullopt };
+    else
+        m_readAnswer = refusal(action.status);
+}
+
+void consensus_group::perform(member_removed const&, monotonic_time)
+{
+    m_logger.emit(events::memberRemoved, "member=" + std::to_string(m_member->identity().member.value));
+    m_isRemoved = true;
+}
+
+document_answer consensus_group::refusal(absl::Status status) const
+{
+    return { std::move(status), {}, leaderPeer() };
+}
+
+std::optional<ip_endpoint> consensus_group::leaderPeer() const
+{
+    if (!m_member || m_member->leader() == noMember || m_member->leader() == m_member->identity().member)
+        return std::nullopt;
+    auto const address = addressOf(m_member->leader());
+    return address ? std::optional(address->peer) : std::nullopt;
+}
+
+void consensus_group::store(versioned_document const& document, answer_handler answer, monotonic_time now)
+{
+    if (!m_member)
+        return answer(refusal(makeError(error_kind::Unavailable, "this host is no member yet")));
+    auto const current = read(now);
+    if (!current.status.ok())
+        return answer(current);
+    // What is stored already is acknowledged again; it must be known to be current, not only applied here.
+    if (document.version <= current.document.version)
+        return answer({ absl::OkStatus(), {}, std::nullopt });
+    auto const token = m_nextToken++;
+    m_proposals[token] = std::move(answer);
+    m_member->propose(token, document.encode(), now);
+    executeActions(now);
+}
+
+document_answer consensus_group::read(monotonic_time now)
+{
+    if (!m_member)
+        return refusal(makeError(error_kind::Unavailable, "this host is no member yet"));
+    m_readAnswer.reset();
+    m_member->read(m_nextToken++, now);
+    executeActions(now);
+    return m_readAnswer.value_or(refusal(makeError(error_kind::Unavailable, "this member has stopped")));
+}
+
+void consensus_group::step(known_hosts const& hosts, monotonic_time now)
+{
+    if (m_reopenAt && now >= *m_reopenAt)
+        start(now);
+    if (m_emptyStorage)
+        askToJoin(hosts, now);
+    if (!m_member)
+        return;
+    while (m_storage) {
+        auto const completed = m_storage->takeCompletion();
+        if (!completed)
+            break;
+        if (completed->status.ok()) {
+            m_member->persistCompleted(completed->sequence, now);
+            continue;
+        }
+        m_logger.emit(events::storageFailed, messageOf(completed->status));
+        m_member->persistFailed(completed->status, now);
+    }
+    m_member->tick(now);
+    executeActions(now);
+    if (m_isRemoved) {
+        auto status = discard();
+        if (status.ok())
+            status = open(now);
+        if (!status.ok()) {
+            m_logger.emit(events::storageFailed, messageOf(status));
+            closeMember();
+            m_reopenAt = now + reopenDelay;
+        }
+        return;
+    }
+    if (m_member->role() == consensus_role::Stopped) {
+        // What is durable has to be read again; the state in memory may be ahead of it.
+        closeMember();
+        m_reopenAt = now + reopenDelay;
+        return;
+    }
+    if (isLeader() && now - m_plannedAt >= planInterval) {
+        m_plannedAt = now;
+        planMembers(hosts, now);
+    }
+}
+
+monotonic_time consensus_group::nextDeadline() const
+{
+    auto deadline = monotonic_time::max();
+    if (m_reopenAt)
+        deadline = *m_reopenAt;
+    if (m_emptyStorage)
+        deadline = std::min(deadline, m_askedAt + joinInterval);
+    if (m_member)
+        deadline = std::min(deadline, m_member->nextDeadline());
+    return deadline;
+}
+
+void consensus_group::planMembers(known_hosts const& hosts, monotonic_time now)
+{
+    std::erase_if(m_applicants, [&](auto const& item) { return now - item.second.heardAt > applicantLimit; });
+    auto const identity = m_member->identity();
+    std::vector<group_member> members;
+    for (auto const& description : m_member->configuration().members()) {
+        auto const address = group_address::parse(description.address);
+        if (!address.ok())
+            continue;
+        auto const* const host = hosts.find(address->peer);
+        auto const contact = m_member->lastContact(description.id);
+        members.push_back({ description.id, description.role, address->peer.toText(),
+            host ? host->host.zone : std::string(), description.address, contact ? now - *contact : duration::zero() });
+    }
+    std::vector<group_applicant> applicants;
+    for (auto const& [peer, pending] : m_applicants) {
+        applicants.push_back(pending.applicant);
+        for (auto const& member : members) {
+            if (member.address != pending.applicant.address)
+                continue;
+            auto const token = group_address::parse(member.address)->token;
+            sendControl(peer, join_identity { { identity.cluster, member.id }, token });
+        }
+    }
+    member_id const unused { m_member->configuration().highestMember().value + 1 };
+    group_planner_settings settings;
+    settings.toleratedLosses = m_settings.toleratedLosses;
+    auto const change = planGroupChange(settings, members, identity.member, unused, applicants);
+    if (!change)
+        return;
+    auto const token = m_nextToken++;
+    m_proposals[token] = [this, change = *change](document_answer const& answer) {
+        m_logger.emit(events::groupChanged,
+            "kind=" + std::to_string(static_cast<int>(change.kind)) + " member=" + std::to_string(change.member.value)
+                + " address=\"" + change.address + "\" outcome="
+                + (answer.status.ok() ? "committed" : messageOf(answer.status)));
+    };
+    m_member->changeMembership(token, *change, now);
+    executeActions(now);
+}
+
+void consensus_group::askToJoin(known_hosts const& hosts, monotonic_time now)
+{
+    if (now - m_askedAt < joinInterval)
+        return;
+    m_askedAt = now;
+    auto receivers = m_seeds;
+    for (auto const& host : hosts.list(host_role::Control, now, duration::max()))
+        receivers.push_back(host.peer);
+    std::sort(receivers.begin(), receivers.end());
+    receivers.erase(std::unique(receivers.begin(), receivers.end()), receivers.end());
+    for (auto const& receiver : receivers) {
+        if (receiver != self().peer)
+            m_send(receiver, join_request { self(), m_token });
+    }
+}
+
+std::vector<ip_endpoint> consensus_group::memberPeers() const
+{
+    std::vector<ip_endpoint> peers;
+    if (!m_member)
+        return peers;
+    for (auto const& description : m_member->configuration().members()) {
+        auto const address = group_address::parse(description.address);
+        if (address.ok() && address->peer != self().peer)
+            peers.push_back(address->peer);
+    }
+    return peers;
+}
+
+std::optional<group_address> consensus_group::addressOf(member_id id) const
+{
+    for (auto const& description : m_member->configuration().members()) {
+        if (description.id != id)
+            continue;
+        auto const address = group_address::parse(description.address);
+        if (address.ok())
+            return *address;
+    }
+    return std::nullopt;
+}
+
+void consensus_group::sendControl(ip_endpoint const& receiver, control_message::body_type body)
+{
+    host_id const host { m_settings.address.toIpv4() };
+    m_send(receiver, control_envelope { m_codec.encode({ host, std::move(body) }) });
+}
+
+void consensus_group::transferLeadership(monotonic_time now)
+{
+    if (!isLeader())
+        return;
+    // Without another voter there is nobody to hand over to; the stop goes on.
+    m_member->transferLeadership(now).IgnoreError();
+    executeActions(now);
+}
+
+std::string_view consensus_group::condition() const
+{
+    if (m_emptyStorage)
+        return "joining";
+    if (!m_member || m_member->role() == consensus_role::Stopped)
+        return "no disk";
+    if (isLeader())
+        return "leader";
+    return m_member->configuration().isVoter(m_member->identity().member) ? "follower" : "learner";
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Fleet/control_service.cpp
@@ -0,0 +1,330 @@
+#include "control_service.h"
+
+#include <Base/boot_clock.h>
+#include <Base/error_kind.h>
+#include <Fleet/fleet_codec.h>
+#include <algorithm>
+#include <array>
+#include <future>
+#include <poll.h>
+#include <random>
+
+namespace bilberryyard {
+
+namespace {
+
+    // Callers give up after a second and ask another control host.
+    constexpr std::chrono::milliseconds answerLimit { 900 };
+    constexpr duration greetInterval = std::chrono::milliseconds(700);
+    constexpr duration maintenanceInterval = std::chrono::seconds(1);
+    // Renewals are sent together; a balancer gives up on a server after several announcement intervals.
+    constexpr duration renewalInterval = std::chrono::milliseconds(500);
+    // Changes that arrive within this time are sent together.
+    constexpr duration changeInterval = std::chrono::milliseconds(20);
+    // The leader sends new routes at once; the others only to balancers that still lack them later.
+    constexpr duration routesInterval = std::chrono::milliseconds(150);
+    constexpr duration followerDelay = std::chrono::milliseconds(500);
+    // Balancers greet every 700 ms; one that has been silent for longer is not written to.
+    constexpr duration subscriberLimit = std::chrono::seconds(8);
+    constexpr duration hostLimit = std::chrono::seconds(60);
+    // Messages that are handled before timers are looked at again.
+    constexpr int messagesPerStep = 64;
+
+    uint64_t randomEpoch()
+    {
+        std::random_device random;
+        return static_cast<uint64_t>(random()) << 32 | random() | 1;
+    }
+
+    std::vector<ip_endpoint> peersOfSeeds(fleet_settings const& settings)
+    {
+        std::vector<ip_endpoint> peers;
+        for (auto const& seed : settings.seeds)
+            peers.push_back({ seed.address, settings.peerPort });
+        return peers;
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<control_service>> control_service::create(
+    fleet_settings const& settings, route_reader readRoutes, seed_source seeds, metrics_registry& metrics)
+{
+    auto channel = peer_channel::create({ settings.address, settings.peerPort });
+    if (!channel.ok())
+        return channel.status();
+    auto wake = wake_signal::create();
+    if (!wake.ok())
+        return wake.status();
+    return std::unique_ptr<control_service>(new control_service(
+        settings, std::move(readRoutes), std::move(seeds), metrics, *std::move(channel), *std::move(wake)));
+}
+
+control_service::control_service(fleet_settings const& settings, route_reader readRoutes, seed_source seeds,
+    metrics_registry& metrics, peer_channel channel, wake_signal wake)
+    : m_settings(settings)
+    , m_readRoutes(std::move(readRoutes))
+    , m_seedSource(std::move(seeds))
+    , m_metrics(metrics)
+    , m_channel(std::move(channel))
+    , m_wake(std::move(wake))
+    , m_startedAt(bootTime())
+    , m_hosts({ settings.address, settings.peerPort })
+    , m_feed({}, randomEpoch())
+    , m_group(
+          settings, [this](ip_endpoint const& receiver, fleet_message const& message) { m_channel.send(receiver, message); },
+          m_wake)
+{
+    m_group.setSeeds(peersOfSeeds(settings));
+}
+
+fleet_host control_service::self() const
+{
+    return { { m_settings.address, m_settings.peerPort }, host_role::Control, m_settings.zone, m_settings.name,
+        m_settings.control ? m_settings.control->port : uint16_t { 0 }, {} };
+}
+
+announcement_effect control_service::announce(backend_announcement const& announcement)
+{
+    auto const effect = m_feed.announce(announcement, bootTime());
+    if (effect == announcement_effect::Added || effect == announcement_effect::Changed) {
+        m_logger.emit(events::serverAnnounced,
+            "server=" + announcement.id + " service=" + announcement.service
+                + " state=" + std::to_string(static_cast<int>(announcement.state)) + " started="
+                + std::to_string(announcement.startedAtMs) + " sequence=" + std::to_string(announcement.sequence)
+                + " outcome=" + (effect == announcement_effect::Added ? "added" : "changed"));
+        m_wake.raise();
+    }
+    return effect;
+}
+
+template <typename Function>
+document_answer control_service::ask(Function function)
+{
+    // The promise outlives a caller that has stopped waiting.
+    auto const result = std::make_shared<std::promise<document_answer>>();
+    auto future = result->get_future();
+    auto const unavailable = [](char const* reason) {
+        return document_answer { makeError(error_kind::Unavailable, reason), {}, std::nullopt };
+    };
+    if (!m_tasks.push([function = std::move(function), result] { function(result); }))
+        return unavailable("too many requests wait");
+    m_wake.raise();
+    if (future.wait_for(answerLimit) != std::future_status::ready)
+        return unavailable("no majority answered in time");
+    return future.get();
+}
+
+document_answer control_service::store(versioned_document document)
+{
+    return ask([this, document = std::move(document)](std::shared_ptr<std::promise<document_answer>> const& result) {
+        m_group.store(
+            document, [result](document_answer const& answer) { result->set_value(answer); }, bootTime());
+    });
+}
+
+document_answer control_service::read()
+{
+    return ask([this](std::shared_ptr<std::promise<document_answer>> const& result) {
+        result->set_value(m_group.read(bootTime()));
+    });
+}
+
+void control_service::run(std::function<bool()> const& isStopping)
+{
+    m_group.start(bootTime());
+    while (!isStopping())
+        step();
+    // Another leader is found at once instead of after an election timeout.
+    m_group.transferLeadership(bootTime());
+    auto const limit = bootTime() + std::chrono::milliseconds(800);
+    while (m_group.isLeader() && bootTime() < limit)
+        step();
+}
+
+void control_service::step()
+{
+    auto const now = bootTime();
+    while (auto const task = m_tasks.pop())
+        (*task)();
+    m_group.step(m_hosts, now);
+    refreshRoutes(now);
+    publishDirectory(now);
+    publishRoutes(now);
+    if (now - m_greetedAt >= greetInterval)
+        greetPeers(now);
+    if (now - m_maintainedAt >= maintenanceInterval) {
+        m_maintainedAt = now;
+        m_feed.expire(now);
+        m_hosts.expire(now, hostLimit);
+        readSeeds();
+        updateMetrics();
+    }
+    wait(now);
+    receive();
+}
+
+void control_service::wait(monotonic_time now)
+{
+    auto deadline = std::min(m_greetedAt + greetInterval, m_group.nextDeadline());
+    deadline = std::min(deadline, m_directoryPublishedAt + (m_feed.hasChanges() ? changeInterval : renewalInterval));
+    if (m_group.isLeader() && m_publishedVersion < m_routesVersion)
+        deadline = std::min(deadline, m_routesPublishedAt + routesInterval);
+    auto const left = std::chrono::ceil<std::chrono::milliseconds>(std::max(deadline - now, duration::zero())).count();
+    std::array<pollfd, 2> descriptors { pollfd { m_channel.descriptor(), POLLIN, 0 },
+        pollfd { m_wake.descriptor(), POLLIN, 0 } };
+    // An interruption by a signal is as good as a message: the caller looks at everything again.
+    poll(descriptors.data(), descriptors.size(), static_cast<int>(left));
+    if (descriptors[1].revents != 0)
+        m_wake.clear();
+}
+
+void control_service::receive()
+{
+    bool isEmpty = false;
+    for (int count = 0; count < messagesPerStep && !isEmpty; ++count) {
+        // The clock is read after the message: one that arrived while the host was suspended must not meet a lease
+        // as it was before.
+        auto const message = m_channel.receive(bootTime(), isEmpty);
+        if (!message)
+            continue;
+        std::visit([&](auto const& body) { handle(message->sender, body, bootTime()); }, message->message);
+    }
+}
+
+void control_service::handle(ip_endpoint const& sender, hello_message const& message, monotonic_time now)
+{
+    auto host = message.host;
+    host.age = {};
+    if (!m_hosts.find(host.peer))
+        m_logger.emit(events::hostHeard, "host=" + host.name + " peer=" + host.peer.toText() + " zone=" + host.zone);
+    m_hosts.learn(host, now);
+    welcome_message welcome;
+    welcome.hosts = m_hosts.list(host_role::Control, now, hostLimit);
+    welcome.hosts.push_back(self());
+    if (host.role == host_role::Control) {
+        auto const balancers = m_hosts.list(host_role::Balancer, now, subscriberLimit);
+        welcome.hosts.insert(welcome.hosts.end(), balancers.begin(), balancers.end());
+    }
+    welcome.configurationVersion = m_routesVersion;
+    welcome.uptime = now - m_startedAt;
+    m_channel.send(sender, welcome);
+    if (host.role != host_role::Balancer)
+        return;
+    if (auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now))
+        m_channel.send(sender, *update);
+    bool const isDue = m_group.isLeader() || now - m_routesChangedAt >= followerDelay || message.configurationVersion == 0;
+    if (message.configurationVersion < m_routesVersion && isDue)
+        m_channel.sendEncoded(sender, m_encodedRoutes);
+}
+
+void control_service::handle(ip_endpoint const& sender, welcome_message const& message, monotonic_time now)
+{
+    for (auto const& host : message.hosts) {
+        auto heard = host;
+        if (host.peer == sender)
+            heard.age = {};
+        m_hosts.learn(heard, now);
+    }
+}
+
+void control_service::handle(ip_endpoint const& sender, control_envelope const& message, monotonic_time now)
+{
+    auto const decoded = m_codec.decode(message.bytes);
+    if (!decoded.ok()) {
+        m_metrics.counter("control_messages_refused_total").add();
+        return;
+    }
+    m_group.receive(*decoded, sender, now);
+}
+
+void control_service::handle(ip_endpoint const&, join_request const& message, monotonic_time now)
+{
+    m_group.receive(message, now);
+}
+
+std::vector<ip_endpoint> control_service::controlPeers(monotonic_time now) const
+{
+    auto peers = peersOfSeeds(m_settings);
+    for (auto const& host : m_hosts.list(host_role::Control, now, hostLimit))
+        peers.push_back(host.peer);
+    auto const members = m_group.memberPeers();
+    peers.insert(peers.end(), members.begin(), members.end());
+    std::sort(peers.begin(), peers.end());
+    peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
+    std::erase(peers, self().peer);
+    return peers;
+}
+
+void control_service::greetPeers(monotonic_time now)
+{
+    m_greetedAt = now;
+    hello_message const hello { self(), m_routesVersion, 0, 0 };
+    auto const bytes = encodeFleetMessage(hello);
+    for (auto const& peer : controlPeers(now))
+        m_channel.sendEncoded(peer, bytes);
+}
+
+void control_service::publishDirectory(monotonic_time now)
+{
+    auto const interval = m_feed.hasChanges() ? changeInterval : renewalInterval;
+    if (now - m_directoryPublishedAt < interval)
+        return;
+    m_directoryPublishedAt = now;
+    auto const update = m_feed.takeChanges(now);
+    if (!update)
+        return;
+    auto const bytes = encodeFleetMessage(*update);
+    for (auto const& host : m_hosts.list(host_role::Balancer, now, subscriberLimit))
+        m_channel.sendEncoded(host.peer, bytes);
+}
+
+void control_service::refreshRoutes(monotonic_time now)
+{
+    auto const& document = m_group.document();
+    if (document.version <= m_routesVersion)
+        return;
+    m_routesVersion = document.version;
+    m_routesChangedAt = now;
+    auto const routes = m_readRoutes(document.bytes);
+    if (!routes.ok()) {
+        // Only valid documents are stored, so a later version of this program wrote it.
+        m_logger.emit(events::configurationRefused, messageOf(routes.status()));
+        return;
+    }
+    m_encodedRoutes = encodeFleetMessage(*routes);
+}
+
+void control_service::publishRoutes(monotonic_time now)
+{
+    if (m_publishedVersion >= m_routesVersion || now - m_routesPublishedAt < routesInterval || m_encodedRoutes.empty())
+        return;
+    m_publishedVersion = m_routesVersion;
+    if (!m_group.isLeader())
+        return;
+    m_routesPublishedAt = now;
+    for (auto const& host : m_hosts.list(host_role::Balancer, now, subscriberLimit))
+        m_channel.sendEncoded(host.peer, m_encodedRoutes);
+}
+
+void control_service::readSeeds()
+{
+    auto const seeds = m_seedSource();
+    if (!seeds)
+        return;
+    m_settings.seeds = *seeds;
+    m_group.setSeeds(peersOfSeeds(m_settings));
+    m_logger.emit(events::settingsReloaded, "seeds=" + std::to_string(seeds->size()));
+}
+
+void control_service::updateMetrics()
+{
+    m_metrics.setGauge("control_is_leader", m_group.isLeader() ? 1 : 0);
+    m_metrics.setGauge("control_configuration_version", static_cast<double>(m_routesVersion));
+    m_metrics.setGauge("control_term", static_cast<double>(m_group.term()));
+    m_metrics.setGauge("control_commit_index", static_cast<double>(m_group.commitIndex()));
+    m_metrics.setGauge("peer_sent_bytes", static_cast<double>(m_channel.sentBytes()));
+    m_metrics.setGauge("peer_received_bytes", static_cast<double>(m_channel.receivedBytes()));
+    m_metrics.setGauge("peer_messages_refused", static_cast<double>(m_channel.refused()));
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Fleet/control_service.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "consensus_group.h"
+#include "directory_feed.h"
+#include "fleet_settings.h"
+#include "known_hosts.h"
+#include "peer_channel.h"
+
+#include <Kernel/bounded_mailbox.h>
+#include <Kernel/metrics_registry.h>
+#include <Kernel/wake_signal.h>
+#include <absl/status/statusor.h>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace bilberryyard {
+
+/// A control host: takes the announcements of backend servers, keeps the replicated configuration, and tells
+/// balancers about both.
+class control_service {
+public:
+    /// Reads the routes out of a stored document.
+    using route_reader = std::function<absl::StatusOr<route_table>(std::string const&)>;
+
+    /// @param settings Settings with the role Control.
+    /// @param readRoutes Reads stored documents.
+    /// @param seeds Tells about changed seeds.
+    /// @param metrics Receives metrics; outlives this object.
+    /// @return The service; the error of a socket.
+    static absl::StatusOr<std::unique_ptr<control_service>> create(
+        fleet_settings const& settings, route_reader readRoutes, seed_source seeds, metrics_registry& metrics);
+
+    /// Takes an announcement. Called from any thread.
+    /// @param announcement What a server said; Gone when it has left.
+    /// @return What it changed.
+    announcement_effect announce(backend_announcement const& announcement);
+
+    /// Stores a document; waits until it is stored or cannot be. Called from any thread but the service's.
+    /// @param document A valid document.
+    /// @return Ok when it or a higher version is stored.
+    document_answer store(versioned_document document);
+
+    /// Reads the current document. Called from any thread but the service's.
+    /// @return The document, or why it cannot be given.
+    document_answer read();
+
+    /// Runs the service on the calling thread.
+    /// @param isStopping Asks whether to hand over leadership and end.
+    void run(std::function<bool()> const& isStopping);
+
+    /// Wakes run(), so that it notices a signal.
+    wake_signal const& wake() const { return m_wake; }
+
+private:
+    control_service(fleet_settings const& settings, route_reader readRoutes, seed_source seeds,
+        metrics_registry& metrics, peer_channel channel, wake_signal wake);
+
+    template <typename Function>
+    document_answer ask(Function function);
+
+    void step();
+    void wait(monotonic_time now);
+    void receive();
+    void handle(ip_endpoint const& sender, hello_message const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, welcome_message const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, control_envelope const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, join_request const& message, monotonic_time now);
+    void handle(ip_endpoint const&, directory_update const&, monotonic_time) { }
+    void handle(ip_endpoint const&, route_table const&, monotonic_time) { }
+
+    void greetPeers(monotonic_time now);
+    void publishDirectory(monotonic_time now);
+    void publishRoutes(monotonic_time now);
+    void refreshRoutes(monotonic_time now);
+    void readSeeds();
+    void updateMetrics();
+    std::vector<ip_endpoint> controlPeers(monotonic_time now) const;
+    fleet_host self() const;
+
+    fleet_settings m_settings;
+    route_reader m_readRoutes;
+    seed_source m_seedSource;
+    metrics_registry& m_metrics;
+    event_logger m_logger { "control" };
+    control_codec m_codec { 0 };
+    peer_channel m_channel;
+    wake_signal m_wake;
+    monotonic_time m_startedAt;
+    known_hosts m_hosts;
+    directory_feed m_feed;
+    consensus_group m_group;
+
+    uint64_t m_routesVersion = 0;
+    std::string m_encodedRoutes;
+    monotonic_time m_routesChangedAt;
+    uint64_t m_publishedVersion = 0;
+    monotonic_time m_routesPublishedAt;
+    monotonic_time m_directoryPublishedAt;
+    monotonic_time m_greetedAt;
+    monotonic_time m_maintainedAt;
+
+    bounded_mailbox<std::function<void()>> m_tasks { 256 };
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Fleet/known_hosts.cpp
@@ -0,0 +1,46 @@
+#include "known_hosts.h"
+
+#include <algorithm>
+
+namespace bilberryyard {
+
+known_hosts::known_hosts(ip_endpoint const& self)
+    : m_self(self)
+{
+}
+
+void known_hosts::learn(fleet_host const& host, monotonic_time now)
+{
+    if (host.peer == m_self)
+        return;
+    auto const heardAt = now - host.age;
+    auto& known = m_hosts[host.peer];
+    if (known.heardAt > heardAt && !known.host.name.empty())
+        return;
+    known = { host, heardAt };
+}
+
+std::vector<fleet_host> known_hosts::list(host_role role, monotonic_time now, duration limit) const
+{
+    std::vector<fleet_host> result;
+    for (auto const& [peer, known] : m_hosts) {
+        if (known.host.role != role || now - known.heardAt > limit)
+            continue;
+        result.push_back(known.host);
+        result.back().age = now - known.heardAt;
+    }
+    return result;
+}
+
+known_hosts::known_host const* known_hosts::find(ip_endpoint const& peer) const
+{
+    auto const known = m_hosts.find(peer);
+    return known == m_hosts.end() ? nullptr : &known->second;
+}
+
+void known_hosts::expire(monotonic_time now, duration limit)
+{
+    std::erase_if(m_hosts, [&](auto const& item) { return now - item.second.heardAt > limit; });
+}
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Services/Fleet/peer_channel.cpp
@@ -0,0 +1,56 @@
+#include "peer_channel.h"
+
+#include <Fleet/fleet_codec.h>
+#include <random>
+
+namespace bilberryyard {
+
+absl::StatusOr<peer_channel> peer_channel::create(ip_endpoint const& address)
+{
+    auto socket = datagram_socket::create(address);
+    if (!socket.ok())
+        return socket.status();
+    return peer_channel(*std::move(socket));
+}
+
+peer_channel::peer_channel(datagram_socket socket)
+    : m_socket(std::move(socket))
+    , m_buffer(maximumDatagramBytes + 1)
+    // Parts of messages from before a restart must not be taken for parts of new ones.
+    , m_number(std::random_device()())
+{
+}
+
+std::optional<peer_channel::received_message> peer_channel::receive(monotonic_time now, bool& isEmpty)
+{
+    datagram_socket::received datagram;
+    isEmpty = !m_socket.receive(m_buffer, datagram);
+    if (isEmpty)
+        return std::nullopt;
+    m_receivedBytes += datagram.size;
+    auto const bytes = m_assembler.add(
+        datagram.sender, { reinterpret_cast<char const*>(m_buffer.data()), datagram.size }, now);
+    if (!bytes)
+        return std::nullopt;
+    auto message = decodeFleetMessage(*bytes);
+    if (!message.ok()) {
+        ++m_refused;
+        return std::nullopt;
+    }
+    return received_message { datagram.sender, *std::move(message) };
+}
+
+void peer_channel::send(ip_endpoint const& receiver, fleet_message const& message)
+{
+    sendEncoded(receiver, encodeFleetMessage(message));
+}
+
+void peer_channel::sendEncoded(ip_endpoint const& receiver, std::string_view message)
+{
+    for (auto const& datagram : splitIntoDatagrams(message, ++m_number)) {
+        if (m_socket.send(receiver, datagram))
+            m_sentBytes += datagram.size();
+    }
+}
+
+} // namespace bilberryyard
