Fleet: Serve from the last known routes and servers until a leader is found

Cause: after a loss of power balancers waited 1.1 s for an election and 1.2 s more for announcements. Ruled out: shorter elections, which a leader's lease forbids below 0.7 s.

--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -101,6 +101,7 @@
             write(*welcome.add_hosts(), host);
         welcome.set_configuration_version(message.configurationVersion);
         welcome.set_uptime_ms(toMilliseconds(message.uptime));
+        welcome.set_directory_restored(message.isDirectoryRestored);
     }
 
     void write(wire::FleetMessage& target, directory_update const& message)
@@ -167,6 +168,7 @@
         }
         result.configurationVersion = source.configuration_version();
         result.uptime = milliseconds(source.uptime_ms());
+        result.isDirectoryRestored = source.directory_restored();
         return result;
     }
 
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -45,6 +45,8 @@
     uint64_t configurationVersion = 0;
     /// How long the control host has been listening to backend servers.
     duration uptime {};
+    /// The directory began with what an earlier run knew.
+    bool isDirectoryRestored = false;
     auto operator<=>(welcome_message const&) const = default;
 };
 
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -23,9 +23,9 @@
     /// Share of a service's servers that may be ejected on evidence; with more, the path is at fault.
     double ejectionCap = 0.5;
     /// What a flow without a request costs, in requests: callers pause between requests on a long flow.
-    double idleFlowWeight = 0.05;
+    double idleFlowWeight = 0.02;
     /// What leaving the own availability zone costs, in requests per slot.
-    double remoteZoneCost = 0.25;
+    double remoteZoneCost = 1.0;
     /// The same for downloads, whose bytes between zones cost more than a short wait.
     double remoteZoneDownloadCost = 1.5;
     /// How much slower a server counts while it warms up.
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -59,6 +59,7 @@
     }
     link.isSilent = false;
     link.heardAt = now;
+    link.isDirectoryRestored = message.isDirectoryRestored;
     // Every server announces itself once in this time, and a second time should the first call have failed.
     link.completeAt = now - message.uptime + 2 * m_settings.announcementInterval;
 }
@@ -168,9 +169,11 @@
     bool isComplete = false;
     for (auto const& [peer, link] : m_links) {
         bool const isHeard = link.heardAt != monotonic_time() && now - link.heardAt <= silenceLimit;
-        isComplete = isComplete || (isHeard && link.epoch != 0 && now >= link.completeAt);
+        if (!isHeard || link.epoch == 0)
+            continue;
+        isComplete = isComplete || now >= link.completeAt;
+        m_hasDirectory = m_hasDirectory || isComplete || link.isDirectoryRestored;
     }
-    m_hasDirectory = m_hasDirectory || isComplete;
     m_router.pool().setDirectoryHealth(isComplete ? directory_health::Fresh : directory_health::Stale);
 }
 
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -46,6 +46,7 @@
         monotonic_time heardAt;
         /// When the control host had listened long enough to have heard every server.
         monotonic_time completeAt = monotonic_time::max();
+        bool isDirectoryRestored = false;
         uint64_t epoch = 0;
         uint64_t revision = 0;
         std::string name;
--- a/Services/Fleet/consensus_group.cpp
+++ b/Services/Fleet/consensus_group.cpp
@@ -134,7 +134,7 @@
         *storage.identity(), groupSettings(), std::move(restored), randomNumber(), now);
     if (!member.ok())
         return member.status();
-    m_storage = std::make_unique<storage_duty>(std::move(storage), m_wake);
+    m_storage = std::make_unique<storage_duty>(std::move(storage), m_wake, m_settings.dataFolder);
     m_member.emplace(*std::move(member));
     m_loggedRole = consensus_role::Follower;
     m_logger.emit(events::memberStarted,
@@ -396,6 +396,22 @@
     }
 }
 
+void consensus_group::saveFile(std::string const& name, std::string bytes)
+{
+    if (m_storage)
+        m_storage->saveFile(name, std::move(bytes));
+}
+
+std::optional<std::string> consensus_group::loadFile(std::string const& name)
+{
+    auto content = m_files.read(m_settings.dataFolder + "/" + name);
+    if (content.ok())
+        return *std::move(content);
+    if (errorKindOf(content.status()) != error_kind::NotFound)
+        m_logger.emit(events::savedConfigurationDamaged, messageOf(content.status()));
+    return std::nullopt;
+}
+
 monotonic_time consensus_group::nextDeadline() const
 {
     auto deadline = monotonic_time::max();
--- a/Services/Fleet/consensus_group.h
+++ b/Services/Fleet/consensus_group.h
@@ -62,6 +62,14 @@
     /// @param now The time.
     void step(known_hosts const& hosts, monotonic_time now);
 
+    /// Saves a file beside the log that saves time after a restart and may be lost.
+    /// @param name Name of the file.
+    /// @param bytes Its content.
+    void saveFile(std::string const& name, std::string bytes);
+    /// @param name A file that saveFile() has written, perhaps in an earlier run.
+    /// @return Its content; nothing without a readable file.
+    std::optional<std::string> loadFile(std::string const& name);
+
     /// @return When step() is due next.
     monotonic_time nextDeadline() const;
 
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -27,6 +27,9 @@
     // Balancers greet every 700 ms; one that has been silent for longer is not written to.
     constexpr duration subscriberLimit = std::chrono::seconds(8);
     constexpr duration hostLimit = std::chrono::seconds(60);
+    // What was known last, beside the replicated log.
+    constexpr char const* routesName = "last-routes";
+    constexpr char const* serversName = "last-servers";
     // Messages that are handled before timers are looked at again.
     constexpr int messagesPerStep = 64;
 
@@ -131,6 +134,7 @@
 
 void control_service::run(std::function<bool()> const& isStopping)
 {
+    restoreLastKnown(bootTime());
     m_group.start(bootTime());
     while (!isStopping())
         step();
@@ -156,6 +160,7 @@
         m_maintainedAt = now;
         m_feed.expire(now);
         m_hosts.expire(now, hostLimit);
+        saveLastKnown(now);
         readSeeds();
         updateMetrics();
     }
@@ -207,6 +212,7 @@
     }
     welcome.configurationVersion = m_routesVersion;
     welcome.uptime = now - m_startedAt;
+    welcome.isDirectoryRestored = m_isRestored;
     m_channel.send(sender, welcome);
     if (host.role != host_role::Balancer)
         return;
@@ -292,6 +298,40 @@
         return;
     }
     m_encodedRoutes = encodeFleetMessage(*routes);
+    m_group.saveFile(routesName, m_encodedRoutes);
+}
+
+void control_service::restoreLastKnown(monotonic_time now)
+{
+    // After a loss of power, no leader is known for a second and servers announce themselves one by one. What was in
+    // force and who was there before serves callers meanwhile; this host answers no read of the configuration from it.
+    if (auto bytes = m_group.loadFile(routesName)) {
+        auto const message = decodeFleetMessage(*bytes);
+        if (message.ok() && std::holds_alternative<route_table>(*message)) {
+            m_routesVersion = std::get<route_table>(*message).version;
+            m_encodedRoutes = *std::move(bytes);
+        } else {
+            m_logger.emit(events::savedConfigurationDamaged, routesName);
+        }
+    }
+    if (auto const bytes = m_group.loadFile(serversName)) {
+        auto const message = decodeFleetMessage(*bytes);
+        if (message.ok() && std::holds_alternative<directory_update>(*message)) {
+            m_feed.restore(std::get<directory_update>(*message).records, now);
+            m_isRestored = true;
+        } else {
+            m_logger.emit(events::savedConfigurationDamaged, serversName);
+        }
+    }
+}
+
+void control_service::saveLastKnown(monotonic_time now)
+{
+    auto const revision = m_feed.revision();
+    if (revision == m_savedRevision)
+        return;
+    m_savedRevision = revision;
+    m_group.saveFile(serversName, encodeFleetMessage(m_feed.everything(now)));
 }
 
 void control_service::publishRoutes(monotonic_time now)
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -75,6 +75,8 @@
     void publishRoutes(monotonic_time now);
     void refreshRoutes(monotonic_time now);
     void readSeeds();
+    void restoreLastKnown(monotonic_time now);
+    void saveLastKnown(monotonic_time now);
     void updateMetrics();
     std::vector<ip_endpoint> controlPeers(monotonic_time now) const;
     fleet_host self() const;
@@ -98,6 +100,8 @@
     uint64_t m_publishedVersion = 0;
     monotonic_time m_routesPublishedAt;
     monotonic_time m_directoryPublishedAt;
+    uint64_t m_savedRevision = 0;
+    bool m_isRestored = false;
     monotonic_time m_greetedAt;
     monotonic_time m_maintainedAt;
 
--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -5,7 +5,8 @@
 namespace bilberryyard {
 
 directory_feed::directory_feed(backend_directory_settings const& settings, uint64_t epoch)
-    : m_directory(settings)
+    : m_settings(settings)
+    , m_directory(settings)
     , m_epoch(epoch)
 {
 }
@@ -56,6 +57,25 @@
     return directory_update { m_epoch, held, m_directory.revision(), recordsAfter(held, now), {} };
 }
 
+void directory_feed::restore(std::vector<aged_announcement> const& records, monotonic_time now)
+{
+    std::lock_guard const lock(m_mutex);
+    for (auto const& record : records)
+        m_directory.apply(record.announcement, now - m_settings.silence, now);
+}
+
+directory_update directory_feed::everything(monotonic_time now) const
+{
+    std::lock_guard const lock(m_mutex);
+    return { m_epoch, 0, m_directory.revision(), recordsAfter(0, now), {} };
+}
+
+uint64_t directory_feed::revision() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_directory.revision();
+}
+
 void directory_feed::expire(monotonic_time now)
 {
     std::lock_guard const lock(m_mutex);
--- a/Services/Fleet/storage_duty.cpp
+++ b/Services/Fleet/storage_duty.cpp
@@ -1,10 +1,13 @@
 #include "storage_duty.h"
 
+#include <Base/error_kind.h>
+
 namespace bilberryyard {
 
-storage_duty::storage_duty(storage_type storage, wake_signal const& wake)
+storage_duty::storage_duty(storage_type storage, wake_signal const& wake, std::string folder)
     : m_storage(std::move(storage))
     , m_wake(wake)
+    , m_folder(std::move(folder))
     , m_thread("storage", [this](std::stop_token const& token) { run(token); })
 {
 }
@@ -18,15 +21,38 @@
     m_submitted.notify_one();
 }
 
+void storage_duty::saveFile(std::string const& name, std::string bytes)
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        m_files[name] = std::move(bytes);
+    }
+    m_submitted.notify_one();
+}
+
+void storage_duty::write(std::string const& name, std::string const& bytes)
+{
+    posix_file_system files;
+    if (auto const status = replaceFile(files, m_folder, name, bytes); !status.ok())
+        m_logger.emit(events::configurationNotSaved, messageOf(status));
+}
+
 void storage_duty::run(std::stop_token const& stopToken)
 {
     while (true) {
         std::optional<persist_request> request;
+        std::map<std::string, std::string>::node_type file;
         {
             std::unique_lock lock(m_mutex);
-            if (!m_submitted.wait(lock, stopToken, [this] { return m_request.has_value(); }))
+            if (!m_submitted.wait(lock, stopToken, [this] { return m_request || !m_files.empty(); }))
                 return;
             request = std::exchange(m_request, std::nullopt);
+            if (!request)
+                file = m_files.extract(m_files.begin());
+        }
+        if (!request) {
+            write(file.key(), file.mapped());
+            continue;
         }
         auto const status = m_storage.execute(*request);
         m_completions.push({ request->sequence, status });
--- a/Services/Fleet/storage_duty.h
+++ b/Services/Fleet/storage_duty.h
@@ -1,14 +1,16 @@
 #pragma once
 
+#include <Base/event_logger.h>
 #include <Consensus/member_storage.h>
 #include <Consensus/posix_file_system.h>
 #include <Kernel/bounded_mailbox.h>
 #include <Kernel/duty_thread.h>
 #include <Kernel/wake_signal.h>
 #include <condition_variable>
-#include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
+#include <string>
 
 namespace bilberryyard {
 
@@ -25,23 +27,33 @@
 
     /// @param storage The opened data folder.
     /// @param wake Raised when a request is complete; outlives this object.
-    storage_duty(storage_type storage, wake_signal const& wake);
+    /// @param folder The data folder's path.
+    storage_duty(storage_type storage, wake_signal const& wake, std::string folder);
 
     /// Starts a request; at most one is outstanding.
     /// @param request From a consensus_member.
     void submit(persist_request request);
 
+    /// Replaces a file in the data folder that saves time after a restart and may be lost; requests go before it.
+    /// @param name Name of the file.
+    /// @param bytes Its content.
+    void saveFile(std::string const& name, std::string bytes);
+
     /// @return The result of the request, once.
     std::optional<completion> takeCompletion() { return m_completions.pop(); }
 
 private:
     void run(std::stop_token const& stopToken);
+    void write(std::string const& name, std::string const& bytes);
 
     storage_type m_storage;
     wake_signal const& m_wake;
     std::mutex m_mutex;
     std::condition_variable_any m_submitted;
     std::optional<persist_request> m_request;
+    std::map<std::string, std::string> m_files;
+    std::string m_folder;
+    event_logger m_logger { "storage" };
     bounded_mailbox<completion> m_completions { 4 };
     duty_thread m_thread;
 };
