--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -166,6 +166,11 @@
         m_idsByToken.erase(flowToken(id));
         m_router.pool().remove(id);
     }
+    updateReadiness(now);
+}
+
+void balancer_control::updateReadiness(monotonic_time now)
+{
     bool isComplete = false;
     for (auto const& [peer, link] : m_links) {
         bool const isHeard = link.heardAt != monotonic_time() && now - link.heardAt <= silenceLimit;
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -29,6 +29,9 @@
     /// @param now The time.
     void step(monotonic_time now);
 
+    /// Notes whether enough is known to serve callers.
+    void updateReadiness(monotonic_time now);
+
     /// @return When step() is due next.
     monotonic_time nextDeadline() const;
 
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -46,6 +46,9 @@
     /// Packets wait here while the process has no processor time.
     static constexpr int receiveBufferBytes = 1 << 20;
     static constexpr duration sweepInterval = std::chrono::milliseconds(500);
+    /// Packets that arrive before routes and servers are known wait this long in the socket: callers repeat opening
+    /// packets no longer.
+    static constexpr duration firstPacketsTime = std::chrono::milliseconds(1'400);
     /// Routers ask every 500 ms and give up after two misses; the rest is for packets on their way.
     static constexpr duration withdrawalTime = std::chrono::milliseconds(2'500);
 
@@ -54,6 +57,7 @@
 
     void step();
     void wait(monotonic_time now);
+    bool mayReadPackets(monotonic_time now) const { return m_control.isReady() || now >= m_startedAt + firstPacketsTime; }
     void receiveMessages();
     void receivePackets();
     void forward(std::span<uint8_t> packet, caller_packet const& decoded, monotonic_time now);
@@ -70,6 +74,7 @@
     balancer_control m_control;
     std::atomic<bool> m_isReady { false };
     bool m_isWithdrawn = false;
+    monotonic_time m_startedAt;
     monotonic_time m_sweptAt;
     std::array<uint8_t, Format::prefixBytes + maximumPacketBytes> m_buffer {};
 };
@@ -100,6 +105,7 @@
     , m_channel(std::move(channel))
     , m_router({}, settings.zone, std::random_device()())
     , m_control(settings, m_channel, m_router, bootTime())
+    , m_startedAt(bootTime())
 {
 }
 
@@ -128,16 +134,21 @@
         m_logger.emit(events::readinessChanged, isReady ? "ready=yes" : "ready=no");
     }
     wait(now);
-    receivePackets();
     receiveMessages();
+    m_control.updateReadiness(bootTime());
+    if (mayReadPackets(bootTime()))
+        receivePackets();
 }
 
 template <packet_format Format>
 void balancer_service<Format>::wait(monotonic_time now)
 {
-    auto const deadline = std::min(m_control.nextDeadline(), m_sweptAt + sweepInterval);
+    auto deadline = std::min(m_control.nextDeadline(), m_sweptAt + sweepInterval);
+    bool const readsPackets = mayReadPackets(now);
+    if (!readsPackets)
+        deadline = std::min(deadline, m_startedAt + firstPacketsTime);
     auto const left = std::chrono::ceil<std::chrono::milliseconds>(std::max(deadline - now, duration::zero())).count();
-    std::array<pollfd, 2> descriptors { pollfd { m_packets.descriptor(), POLLIN, 0 },
+    std::array<pollfd, 2> descriptors { pollfd { readsPackets ? m_packets.descriptor() : -1, POLLIN, 0 },
         pollfd { m_channel.descriptor(), POLLIN, 0 } };
     poll(descriptors.data(), descriptors.size(), static_cast<int>(left));
 }
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -29,6 +29,7 @@
     constexpr duration hostLimit = std::chrono::seconds(60);
     // What was known last, beside the replicated log.
     constexpr char const* routesName = "last-routes";
+    constexpr char const* hostsName = "last-hosts";
     constexpr char const* serversName = "last-servers";
     // Messages that are handled before timers are looked at again.
     constexpr int messagesPerStep = 64;
@@ -135,6 +136,7 @@
 void control_service::run(std::function<bool()> const& isStopping)
 {
     restoreLastKnown(bootTime());
+    greetBalancers(bootTime());
     m_group.start(bootTime());
     while (!isStopping())
         step();
@@ -203,24 +205,43 @@
     if (!m_hosts.find(host.peer))
         m_logger.emit(events::hostHeard, "host=" + host.name + " peer=" + host.peer.toText() + " zone=" + host.zone);
     m_hosts.learn(host, now);
+    m_channel.send(sender, makeWelcome(host.role, now));
+    if (host.role != host_role::Balancer)
+        return;
+    if (auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now))
+        m_channel.send(sender, *update);
+    bool const isDue = m_group.isLeader() || now - m_routesChangedAt >= followerDelay || message.configurationVersion == 0;
+    if (message.configurationVersion < m_routesVersion && isDue)
+        m_channel.sendEncoded(sender, m_encodedRoutes);
+}
+
+welcome_message control_service::makeWelcome(host_role receiver, monotonic_time now) const
+{
     welcome_message welcome;
     welcome.hosts = m_hosts.list(host_role::Control, now, hostLimit);
     welcome.hosts.push_back(self());
-    if (host.role == host_role::Control) {
+    if (receiver == host_role::Control) {
         auto const balancers = m_hosts.list(host_role::Balancer, now, subscriberLimit);
         welcome.hosts.insert(welcome.hosts.end(), balancers.begin(), balancers.end());
     }
     welcome.configurationVersion = m_routesVersion;
     welcome.uptime = now - m_startedAt;
     welcome.isDirectoryRestored = m_isRestored;
-    m_channel.send(sender, welcome);
-    if (host.role != host_role::Balancer)
+    return welcome;
+}
+
+void control_service::greetBalancers(monotonic_time now)
+{
+    auto const balancers = m_hosts.list(host_role::Balancer, now, hostLimit);
+    if (balancers.empty() || m_encodedRoutes.empty())
         return;
-    if (auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now))
-        m_channel.send(sender, *update);
-    bool const isDue = m_group.isLeader() || now - m_routesChangedAt >= followerDelay || message.configurationVersion == 0;
-    if (message.configurationVersion < m_routesVersion && isDue)
-        m_channel.sendEncoded(sender, m_encodedRoutes);
+    auto const welcome = encodeFleetMessage(makeWelcome(host_role::Balancer, now));
+    auto const servers = encodeFleetMessage(m_feed.everything(now));
+    for (auto const& host : balancers) {
+        m_channel.sendEncoded(host.peer, m_encodedRoutes);
+        m_channel.sendEncoded(host.peer, servers);
+        m_channel.sendEncoded(host.peer, welcome);
+    }
 }
 
 void control_service::handle(ip_endpoint const& sender, welcome_message const& message, monotonic_time now)
@@ -314,6 +335,16 @@
             m_logger.emit(events::savedConfigurationDamaged, routesName);
         }
     }
+    if (auto const bytes = m_group.loadFile(hostsName)) {
+        auto const message = decodeFleetMessage(*bytes);
+        if (message.ok() && std::holds_alternative<welcome_message>(*message)) {
+            // Their age is not known; those that are gone are forgotten like others.
+            for (auto const& host : std::get<welcome_message>(*message).hosts)
+                m_hosts.learn(host, now);
+        } else {
+            m_logger.emit(events::savedConfigurationDamaged, hostsName);
+        }
+    }
     if (auto const bytes = m_group.loadFile(serversName)) {
         auto const message = decodeFleetMessage(*bytes);
         if (message.ok() && std::holds_alternative<directory_update>(*message)) {
@@ -327,6 +358,17 @@
 
 void control_service::saveLastKnown(monotonic_time now)
 {
+    welcome_message hosts;
+    for (auto const role : { host_role::Control, host_role::Balancer }) {
+        for (auto host : m_hosts.list(role, now, hostLimit)) {
+            host.age = {};
+            hosts.hosts.push_back(std::move(host));
+        }
+    }
+    if (auto bytes = encodeFleetMessage(hosts); bytes != m_savedHosts) {
+        m_savedHosts = bytes;
+        m_group.saveFile(hostsName, std::move(bytes));
+    }
     auto const revision = m_feed.revision();
     if (revision == m_savedRevision)
         return;
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -76,6 +76,8 @@
     void refreshRoutes(monotonic_time now);
     void readSeeds();
     void restoreLastKnown(monotonic_time now);
+    void greetBalancers(monotonic_time now);
+    welcome_message makeWelcome(host_role receiver, monotonic_time now) const;
     void saveLastKnown(monotonic_time now);
     void updateMetrics();
     std::vector<ip_endpoint> controlPeers(monotonic_time now) const;
@@ -101,6 +103,7 @@
     monotonic_time m_routesPublishedAt;
     monotonic_time m_directoryPublishedAt;
     uint64_t m_savedRevision = 0;
+    std::string m_savedHosts;
     bool m_isRestored = false;
     monotonic_time m_greetedAt;
     monotonic_time m_maintainedAt;
