--- a/Libraries/Placement/backend_load.h
+++ b/Libraries/Placement/backend_load.h
@@ -19,8 +19,10 @@
     monotonic_time slownessAt;
     /// The latest packet that shows that the server answers.
     monotonic_time answeredAt;
-    /// Handshakes that had to be repeated since then.
+    /// Packets that callers had to repeat since then.
     uint32_t unanswered = 0;
+    /// When the oldest of those packets was sent first.
+    monotonic_time unansweredSince;
     monotonic_time ejectedUntil;
     /// How often the server was ejected in a row.
     uint32_t ejections = 0;
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -84,9 +84,16 @@
         return false;
     if (level == demand::Ready)
         return true;
-    if (m_health == directory_health::Fresh && now - backend.entry.heardAt > m_settings.silenceLimit)
+    auto const& load = backend.load;
+    bool const isSuspect = load.unanswered >= m_settings.ejectAfter;
+    auto const intervals = isSuspect ? m_settings.suspectIntervals : m_settings.silentIntervals;
+    auto const silence = seconds(now - backend.entry.heardAt);
+    if (m_health == directory_health::Fresh && silence > intervals * seconds(m_settings.announcementInterval))
         return false;
-    return level == demand::Announced || backend.load.ejectedUntil <= now;
+    if (level == demand::Announced)
+        return true;
+    // After an ejection one handshake at a time shows whether the server is back.
+    return load.ejectedUntil <= now && !(isSuspect && load.opening > 0);
 }
 
 bool backend_pool::mayRepeatHandshake(pooled_backend const& backend, monotonic_time now) const
@@ -169,9 +176,9 @@
     backend.load.slownessAt = now;
 }
 
-bool backend_pool::mayEject(std::string const& service, monotonic_time now) const
+bool backend_pool::mayEject(pooled_backend const& candidate, monotonic_time now) const
 {
-    auto const& tokens = m_services.at(service);
+    auto const& tokens = m_services.at(candidate.entry.announcement.service);
     size_t ready = 0;
     size_t ejected = 0;
     for (auto const token : tokens) {
@@ -179,7 +186,7 @@
         if (backend.entry.announcement.state != backend_state::Ready)
             continue;
         ++ready;
-        ejected += backend.load.ejectedUntil > now ? 1 : 0;
+        ejected += token != candidate.token && backend.load.ejectedUntil > now ? 1 : 0;
     }
     return static_cast<double>(ejected + 1) <= m_settings.ejectionCap * static_cast<double>(ready);
 }
@@ -189,15 +196,29 @@
     // A server that answered others meanwhile lost only this packet.
     if (backend.load.answeredAt > since)
         return;
-    if (++backend.load.unanswered < m_settings.ejectAfter || backend.load.ejectedUntil > now)
+    if (backend.load.unanswered++ == 0)
+        backend.load.unansweredSince = since;
+    if (backend.load.unanswered < m_settings.ejectAfter || backend.load.ejectedUntil > now)
         return;
-    if (!mayEject(backend.entry.announcement.service, now))
+    if (!mayEject(backend, now))
         return;
     auto const doublings = std::min<uint32_t>(backend.load.ejections, 8);
     backend.load.ejectedUntil
         = now + std::min<duration>(m_settings.firstEjection * (1 << doublings), m_settings.longestEjection);
     ++backend.load.ejections;
-    backend.load.unanswered = 0;
+}
+
+bool backend_pool::isPresumedDead(pooled_backend const& backend, monotonic_time now) const
+{
+    auto const& load = backend.load;
+    // A server that was heard by a control host since then is alive; its answers may be on their way.
+    if (load.unanswered < m_settings.presumeDeadAfter || backend.entry.heardAt > load.unansweredSince)
+        return false;
+    auto const usual = m_usualSeconds.find(backend.entry.announcement.service);
+    auto const responses = usual == m_usualSeconds.end() ? 0 : m_settings.presumeDeadResponses * usual->second;
+    auto const silence = std::max(seconds(m_settings.presumeDeadSilence), responses);
+    auto const since = std::max(load.unansweredSince, load.answeredAt);
+    return seconds(now - since) >= silence && mayEject(backend, now);
 }
 
 } // namespace bilberryyard
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -67,8 +67,12 @@
     void noteAnswer(pooled_backend& backend, monotonic_time now);
     /// Notes the time from a request to the first byte of its answer.
     void noteResponseTime(pooled_backend& backend, duration time, monotonic_time now);
-    /// Notes a handshake that the caller had to repeat.
-    /// @param since When the handshake began.
+    /// @param backend A server.
+    /// @param now The time.
+    /// @return Whether it has answered nobody for so long that idempotent requests should go elsewhere.
+    bool isPresumedDead(pooled_backend const& backend, monotonic_time now) const;
+    /// Notes a packet that the caller had to repeat.
+    /// @param since When it was sent first.
     void noteUnanswered(pooled_backend& backend, monotonic_time since, monotonic_time now);
 
     size_t size() const { return m_backends.size(); }
@@ -88,7 +92,7 @@
     bool meets(pooled_backend const& backend, demand level, monotonic_time now) const;
     double cost(pooled_backend const& backend, request_kind kind, monotonic_time now);
     double slowness(pooled_backend const& backend, monotonic_time now) const;
-    bool mayEject(std::string const& service, monotonic_time now) const;
+    bool mayEject(pooled_backend const& candidate, monotonic_time now) const;
 
     placement_settings m_settings;
     std::string m_zone;
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -92,51 +92,63 @@
         m_pool.noteUnanswered(*backend, flow->second.openedAt, now);
 }
 
-void flow_observer::observed(caller_packet const& packet, monotonic_time now)
+flow_observer::novelty flow_observer::observed(caller_packet const& packet, monotonic_time now)
 {
     auto known = m_flows.find(packet.ends);
     if (known == m_flows.end()) {
         // The flow was opened through another balancer.
         if (m_flows.size() >= m_settings.maximumObservedFlows || packet.purpose != packet_purpose::Continue)
-            return;
-        known = m_flows.emplace(packet.ends, observed_flow { packet.token, phase::Idle, now, now, now, 0, packet.sequence })
-                    .first;
-        if (auto* const load = loadOf(known->second))
+            return novelty::New;
+        observed_flow const flow { packet.token, phase::Idle, now, now, now, 0, packet.sequence };
+        known = m_flows.emplace(packet.ends, flow).first;
+        if (auto* const load = loadOf(flow))
             ++load->open;
     }
     auto& flow = known->second;
     flow.seenAt = now;
-    auto* const backend = m_pool.find(flow.token);
-    if (packet.purpose == packet_purpose::Abort) {
+    if (packet.purpose != packet_purpose::Abort)
+        noteProgress(flow, packet, now);
+    auto const repeated = packet.purpose == packet_purpose::Continue && noteData(flow, packet, now);
+    if (packet.purpose != packet_purpose::Continue) {
         leave(flow);
         m_flows.erase(known);
-        return;
-    }
-    if (flow.state == phase::Opening) {
-        enter(flow, phase::Idle);
-        if (backend)
-            m_pool.noteAnswer(*backend, now);
-    }
-    if (flow.state == phase::Busy && isAfter(packet.acknowledgement, flow.requestAcknowledgement)) {
-        enter(flow, phase::Idle);
-        if (backend) {
-            m_pool.noteAnswer(*backend, now);
-            m_pool.noteResponseTime(*backend, now - flow.requestAt, now);
-        }
     }
+    return repeated ? novelty::Repeated : novelty::New;
+}
+
+void flow_observer::noteProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now)
+{
+    auto* const backend = m_pool.find(flow.token);
+    bool const isHandshake = flow.state == phase::Opening;
+    bool const isAnswer = flow.state == phase::Busy && isAfter(packet.acknowledgement, flow.requestAcknowledgement);
+    if (!isHandshake && !isAnswer)
+        return;
+    enter(flow, phase::Idle);
+    if (!backend)
+        return;
+    m_pool.noteAnswer(*backend, now);
+    if (isAnswer)
+        m_pool.noteResponseTime(*backend, now - flow.requestAt, now);
+}
+
+bool flow_observer::noteData(observed_flow& flow, caller_packet const& packet, monotonic_time now)
+{
+    if (packet.payloadBytes == 0)
+        return false;
     auto const end = packet.sequence + packet.payloadBytes;
-    if (packet.payloadBytes > 0 && isAfter(end, flow.sentUntil)) {
-        flow.sentUntil = end;
-        if (flow.state == phase::Idle) {
-            flow.requestAt = now;
-            flow.requestAcknowledgement = packet.acknowledgement;
-            enter(flow, phase::Busy);
-        }
+    if (!isAfter(end, flow.sentUntil)) {
+        auto* const backend = m_pool.find(flow.token);
+        if (backend && flow.state == phase::Busy)
+            m_pool.noteUnanswered(*backend, flow.requestAt, now);
+        return flow.state == phase::Busy;
     }
-    if (packet.purpose == packet_purpose::Finish) {
-        leave(flow);
-        m_flows.erase(known);
+    flow.sentUntil = end;
+    if (flow.state == phase::Idle) {
+        flow.requestAt = now;
+        flow.requestAcknowledgement = packet.acknowledgement;
+        enter(flow, phase::Busy);
     }
+    return false;
 }
 
 void flow_observer::closed(flow_ends const& ends)
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -27,10 +27,18 @@
     /// Notes a repeated handshake packet before its server is chosen.
     void repeated(caller_packet const& packet, monotonic_time now);
 
+    /// Whether a packet brings something new.
+    enum class novelty : uint8_t {
+        New,
+        /// Data that the caller has sent before: there was no answer to it.
+        Repeated,
+    };
+
     /// Notes any other packet of a flow.
     /// @param packet The packet; its token names the server.
     /// @param now The time.
-    void observed(caller_packet const& packet, monotonic_time now);
+    /// @return Whether the caller had to repeat it.
+    novelty observed(caller_packet const& packet, monotonic_time now);
 
     /// Notes that the balancer has reset a flow.
     void closed(flow_ends const& ends);
@@ -61,6 +69,9 @@
         uint32_t sentUntil = 0;
     };
 
+    void noteProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now);
+    /// @return Whether the data was sent before and the caller still waits for an answer.
+    bool noteData(observed_flow& flow, caller_packet const& packet, monotonic_time now);
     void enter(observed_flow& flow, phase state);
     void leave(observed_flow const& flow);
     backend_load* loadOf(observed_flow const& flow);
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -9,14 +9,26 @@
 
 /// Weights and limits of placement.
 struct placement_settings {
-    /// A server that no control host has heard for longer gets no new flows: three announcements.
-    duration silenceLimit = std::chrono::milliseconds(3'000);
+    /// How often servers announce themselves.
+    duration announcementInterval = std::chrono::milliseconds(1'000);
+    /// A server that no control host has heard for this many intervals gets no new flows: two announcements are
+    /// missing, and a third is late.
+    double silentIntervals = 2.75;
+    /// The same for a server that has stopped answering callers: one announcement is missing.
+    double suspectIntervals = 1.5;
     /// A leaving server gets no new flows; repeated packets of a handshake that began earlier still go there for
     /// this time, the longest time that a caller repeats them.
     duration handshakeLimit = std::chrono::milliseconds(1'400);
     /// A server that has answered nobody for longer while a handshake had to be repeated loses that handshake.
-    duration answerGap = std::chrono::milliseconds(300);
-    /// Repeated handshakes without any answer after which a server is ejected. One may be a lost packet.
+    duration answerGap = std::chrono::milliseconds(150);
+    /// Packets that callers had to repeat, without any answer to anybody meanwhile, after which a server counts as
+    /// dead: its open flows with idempotent requests are reset, so that callers turn to another server.
+    uint32_t presumeDeadAfter = 3;
+    /// How long it must have answered nobody by then; and at least this many usual response times, for a server
+    /// that is slow or has a queue still answers somebody.
+    duration presumeDeadSilence = std::chrono::milliseconds(300);
+    double presumeDeadResponses = 8;
+    /// Repeated packets without any answer after which a server is ejected. One may be a lost packet.
     uint32_t ejectAfter = 2;
     duration firstEjection = std::chrono::milliseconds(1'000);
     duration longestEjection = std::chrono::milliseconds(8'000);
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -68,6 +68,14 @@
     return forwardTo(*backend);
 }
 
+bool token_router::isIdempotent(caller_packet const& packet) const
+{
+    if (!m_routes)
+        return false;
+    auto const route = m_routes->routes.find(packet.ends.service);
+    return route != m_routes->routes.end() && route->second.kind != request_kind::NonIdempotent;
+}
+
 packet_decision token_router::decide(caller_packet const& packet, monotonic_time now)
 {
     if (packet.purpose == packet_purpose::Open)
@@ -84,7 +92,11 @@
             return drop_packet { drop_reason::UnknownToken };
         return reset_flow { reset_reason::ServerGone };
     }
-    m_observer.observed(packet, now);
+    auto const novelty = m_observer.observed(packet, now);
+    if (novelty == flow_observer::novelty::Repeated && isIdempotent(packet) && m_pool.isPresumedDead(*backend, now)) {
+        m_observer.closed(packet.ends);
+        return reset_flow { reset_reason::ServerSilent };
+    }
     return forwardTo(*backend);
 }
 
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -14,6 +14,8 @@
     NoRoute,
     NoServer,
     ServerGone,
+    /// The server answers nobody, and the caller may repeat its request elsewhere.
+    ServerSilent,
 };
 
 enum class drop_reason : uint8_t {
@@ -75,6 +77,7 @@
 
 private:
     packet_decision open(caller_packet const& packet, monotonic_time now);
+    bool isIdempotent(caller_packet const& packet) const;
     std::string const& chooseService(service_route const& route);
 
     backend_pool m_pool;
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -55,6 +55,13 @@
     balancer_service(fleet_settings const& settings, seed_source seeds, metrics_registry& metrics,
         datagram_socket packets, peer_channel channel);
 
+    static placement_settings placementFor(fleet_settings const& settings)
+    {
+        placement_settings result;
+        result.announcementInterval = settings.announcementInterval;
+        return result;
+    }
+
     void step();
     void wait(monotonic_time now);
     bool mayReadPackets(monotonic_time now) const { return m_control.isReady() || now >= m_startedAt + firstPacketsTime; }
@@ -103,7 +110,7 @@
     , m_metrics(metrics)
     , m_packets(std::move(packets))
     , m_channel(std::move(channel))
-    , m_router({}, settings.zone, std::random_device()())
+    , m_router(placementFor(settings), settings.zone, std::random_device()())
     , m_control(settings, m_channel, m_router, bootTime())
     , m_startedAt(bootTime())
 {
