--- a/Libraries/Consensus/group_planner.cpp
+++ b/Libraries/Consensus/group_planner.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-    using member_list = std::vector<group_member>;
+    using member_list = std::vector<member_standing>;
 
-    bool isVoter(group_member const& member) { return member.role == member_role::Voter; }
+    bool isVoter(member_standing const& member) { return member.role == member_role::Voter; }
 
     std::optional<membership_change> admit(
         member_list const& members, member_id self, member_id unused, group_applicant const& applicant)
@@ -26,14 +26,14 @@
     }
 
     // A learner in the zone with the fewest voters, so that the loss of a zone takes few of them.
-    group_member const* bestLearner(member_list const& members, duration replaceAfter)
+    member_standing const* bestLearner(member_list const& members, duration replaceAfter)
     {
         std::map<std::string, size_t> votersInZone;
         for (auto const& member : members) {
             if (isVoter(member) && member.silence < replaceAfter)
                 ++votersInZone[member.zone];
         }
-        group_member const* best = nullptr;
+        member_standing const* best = nullptr;
         for (auto const& member : members) {
             if (isVoter(member) || member.silence >= replaceAfter)
                 continue;
@@ -50,7 +50,7 @@
 {
     auto const target = votersFor(settings.toleratedLosses);
     size_t voters = 0;
-    group_member const* silentVoter = nullptr;
+    member_standing const* silentVoter = nullptr;
     for (auto const& member : members) {
         if (!isVoter(member))
             continue;
--- a/Libraries/Consensus/group_planner.h
+++ b/Libraries/Consensus/group_planner.h
@@ -32,7 +32,7 @@
 };
 
 /// A member as its leader sees it.
-struct group_member {
+struct member_standing {
     member_id id;
     member_role role = member_role::Learner;
     std::string host;
@@ -41,7 +41,7 @@
     std::string address;
     /// Time since its latest answer; zero for the leader.
     duration silence {};
-    auto operator<=>(group_member const&) const = default;
+    auto operator<=>(member_standing const&) const = default;
 };
 
 /// Number of voters that survives the loss of some of them.
@@ -61,7 +61,7 @@
 /// @param applicants Hosts that ask to join.
 /// @return The next change, or nothing.
 std::optional<membership_change> planGroupChange(group_planner_settings const& settings,
-    std::vector<group_member> const& members, member_id self, member_id unused,
+    std::vector<member_standing> const& members, member_id self, member_id unused,
     std::vector<group_applicant> const& applicants);
 
 /// The members that found a group: each starts with the same configuration, without asking anybody.
--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -77,10 +77,10 @@
             return makeError(
                 error_kind::InvalidArgument, "backend state " + std::to_string(source.state()) + " is unknown");
         aged_announcement result;
-        result.announcement = { source.id(), source.tag(), source.service(),
-            { ip_address::fromIpv4(source.address()), *port }, source.zone(), source.version(), source.slots(),
-            backend_state { uint8_t(source.state()) }, source.started_at_ms(), source.sequence(),
-            milliseconds(source.warm_up_left_ms()) };
+        result.announcement
+            = { source.id(), source.tag(), source.service(), { ip_address::fromIpv4(source.address()), *port },
+                  source.zone(), source.version(), source.slots(), backend_state { uint8_t(source.state()) },
+                  source.started_at_ms(), source.sequence(), milliseconds(source.warm_up_left_ms()) };
         result.age = milliseconds(source.age_ms());
         return result;
     }
@@ -218,8 +218,7 @@
             auto route = read(record, result.services.size());
             if (!route.ok())
                 return route.status();
-            result.routes.emplace(
-                ip_endpoint { ip_address::fromIpv4(record.address()), *port }, *std::move(route));
+            result.routes.emplace(ip_endpoint { ip_address::fromIpv4(record.address()), *port }, *std::move(route));
         }
         return result;
     }
--- a/Libraries/Membership/backend_directory.h
+++ b/Libraries/Membership/backend_directory.h
@@ -49,8 +49,7 @@
     /// @param heardAt When a control host heard it.
     /// @param now The time.
     /// @return What it changed.
-    announcement_effect apply(
-        backend_announcement const& announcement, monotonic_time heardAt, monotonic_time now);
+    announcement_effect apply(backend_announcement const& announcement, monotonic_time heardAt, monotonic_time now);
 
     /// Notes that a known server was heard again.
     /// @param id The server.
@@ -70,11 +69,9 @@
     uint64_t revision() const { return m_revision; }
 
 private:
-    bool isOutdated(
-        backend_entry const& known, backend_announcement const& announcement, monotonic_time heardAt) const;
+    bool isOutdated(backend_entry const& known, backend_announcement const& announcement, monotonic_time heardAt) const;
     bool takeAddress(backend_announcement const& announcement, monotonic_time heardAt, monotonic_time now);
-    announcement_effect leave(
-        backend_announcement const& announcement, monotonic_time heardAt, monotonic_time now);
+    announcement_effect leave(backend_announcement const& announcement, monotonic_time heardAt, monotonic_time now);
     void change(backend_entry& entry, backend_announcement const& announcement, monotonic_time now);
 
     backend_directory_settings m_settings;
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -70,9 +70,8 @@
     auto const tokens = m_services.find(service);
     if (tokens == m_services.end())
         return 0;
-    return static_cast<size_t>(std::count_if(tokens->second.begin(), tokens->second.end(), [&](uint32_t token) {
-        return m_backends.at(token).entry.announcement.state == backend_state::Ready;
-    }));
+    return static_cast<size_t>(std::count_if(tokens->second.begin(), tokens->second.end(),
+        [&](uint32_t token) { return m_backends.at(token).entry.announcement.state == backend_state::Ready; }));
 }
 
 bool backend_pool::meets(pooled_backend const& backend, demand level, monotonic_time now) const
--- a/Libraries/Transport/datagram_socket.cpp
+++ b/Libraries/Transport/datagram_socket.cpp
@@ -70,8 +70,8 @@
 {
     sockaddr_in address {};
     socklen_t length = sizeof(address);
-    auto const count = recvfrom(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT,
-        reinterpret_cast<sockaddr*>(&address), &length);
+    auto const count = recvfrom(
+        m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&address), &length);
     if (count < 0)
         return false;
     datagram.sender = { ip_address::fromIpv4(ntohl(address.sin_addr.s_addr)), ntohs(address.sin_port) };
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -20,8 +20,7 @@
     /// @param channel Sends messages to control hosts; outlives this object.
     /// @param router Takes routes and servers; outlives this object.
     /// @param now The time.
-    balancer_control(
-        fleet_settings const& settings, peer_channel& channel, token_router& router, monotonic_time now);
+    balancer_control(fleet_settings const& settings, peer_channel& channel, token_router& router, monotonic_time now);
 
     void receive(ip_endpoint const& sender, fleet_message const& message, monotonic_time now);
 
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -64,7 +64,10 @@
 
     void step();
     void wait(monotonic_time now);
-    bool mayReadPackets(monotonic_time now) const { return m_control.isReady() || now >= m_startedAt + firstPacketsTime; }
+    bool mayReadPackets(monotonic_time now) const
+    {
+        return m_control.isReady() || now >= m_startedAt + firstPacketsTime;
+    }
     void receiveMessages();
     void receivePackets();
     void forward(std::span<uint8_t> packet, caller_packet const& decoded, monotonic_time now);
@@ -98,13 +101,13 @@
     auto channel = peer_channel::create({ settings.address, settings.peerPort });
     if (!channel.ok())
         return channel.status();
-    return std::unique_ptr<balancer_service>(new balancer_service(
-        settings, std::move(seeds), metrics, *std::move(packets), *std::move(channel)));
+    return std::unique_ptr<balancer_service>(
+        new balancer_service(settings, std::move(seeds), metrics, *std::move(packets), *std::move(channel)));
 }
 
 template <packet_format Format>
-balancer_service<Format>::balancer_service(fleet_settings const& settings, seed_source seeds,
-    metrics_registry& metrics, datagram_socket packets, peer_channel channel)
+balancer_service<Format>::balancer_service(fleet_settings const& settings, seed_source seeds, metrics_registry& metrics,
+    datagram_socket packets, peer_channel channel)
     : m_settings(settings)
     , m_seedSource(std::move(seeds))
     , m_metrics(metrics)
@@ -196,8 +199,8 @@
             Format::setToken(packet, target->token);
         std::span<uint8_t, Format::prefixBytes> const prefix(m_buffer.data(), Format::prefixBytes);
         Format::writePrefix(prefix, target->tag);
-        m_packets.send(target->address,
-            { reinterpret_cast<char const*>(m_buffer.data()), Format::prefixBytes + packet.size() });
+        m_packets.send(
+            target->address, { reinterpret_cast<char const*>(m_buffer.data()), Format::prefixBytes + packet.size() });
         return;
     }
     if (auto const* const refusal = std::get_if<reset_flow>(&decision)) {
--- a/Services/Fleet/consensus_group.cpp
+++ b/Services/Fleet/consensus_group.cpp
@@ -130,17 +130,16 @@
         if (auto status = m_register.restore(restored.snapshot->data); !status.ok())
             return status;
     }
-    auto member = consensus_member<>::create(
-        *storage.identity(), groupSettings(), std::move(restored), randomNumber(), now);
+    auto member
+        = consensus_member<>::create(*storage.identity(), groupSettings(), std::move(restored), randomNumber(), now);
     if (!member.ok())
         return member.status();
     m_storage = std::make_unique<storage_duty>(std::move(storage), m_wake, m_settings.dataFolder);
     m_member.emplace(*std::move(member));
     m_loggedRole = consensus_role::Follower;
     m_logger.emit(events::memberStarted,
-        "member=" + std::to_string(m_member->identity().member.value)
-            + " last_index=" + std::to_string(m_member->lastIndex())
-            + " version=" + std::to_string(m_register.current().version));
+        "member=" + std::to_string(m_member->identity().member.value) + " last_index="
+            + std::to_string(m_member->lastIndex()) + " version=" + std::to_string(m_register.current().version));
     executeActions(now);
     return absl::OkStatus();
 }
@@ -313,10 +312,7 @@
     m_isRemoved = true;
 }
 
-document_answer consensus_group::refusal(absl::Status status) const
-{
-    return { std::move(status), {}, leaderPeer() };
-}
+document_answer consensus_group::refusal(absl::Status status) const { return { std::move(status), {}, leaderPeer() }; }
 
 std::optional<ip_endpoint> consensus_group::leaderPeer() const
 {
@@ -428,7 +424,7 @@
 {
     std::erase_if(m_applicants, [&](auto const& item) { return now - item.second.heardAt > applicantLimit; });
     auto const identity = m_member->identity();
-    std::vector<group_member> members;
+    std::vector<member_standing> members;
     for (auto const& description : m_member->configuration().members()) {
         auto const address = group_address::parse(description.address);
         if (!address.ok())
@@ -458,8 +454,8 @@
     m_proposals[token] = [this, change = *change](document_answer const& answer) {
         m_logger.emit(events::groupChanged,
             "kind=" + std::to_string(static_cast<int>(change.kind)) + " member=" + std::to_string(change.member.value)
-                + " address=\"" + change.address + "\" outcome="
-                + (answer.status.ok() ? "committed" : messageOf(answer.status)));
+                + " address=\"" + change.address
+                + "\" outcome=" + (answer.status.ok() ? "committed" : messageOf(answer.status)));
     };
     m_member->changeMembership(token, *change, now);
     executeActions(now);
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -75,7 +75,8 @@
     , m_hosts({ settings.address, settings.peerPort })
     , m_feed({}, randomEpoch())
     , m_group(
-          settings, [this](ip_endpoint const& receiver, fleet_message const& message) { m_channel.send(receiver, message); },
+          settings,
+          [this](ip_endpoint const& receiver, fleet_message const& message) { m_channel.send(receiver, message); },
           m_wake)
 {
     m_group.setSeeds(peersOfSeeds(settings));
@@ -210,7 +211,8 @@
         return;
     if (auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now))
         m_channel.send(sender, *update);
-    bool const isDue = m_group.isLeader() || now - m_routesChangedAt >= followerDelay || message.configurationVersion == 0;
+    bool const isDue
+        = m_group.isLeader() || now - m_routesChangedAt >= followerDelay || message.configurationVersion == 0;
     if (message.configurationVersion < m_routesVersion && isDue)
         m_channel.sendEncoded(sender, m_encodedRoutes);
 }
--- a/Services/Fleet/peer_channel.cpp
+++ b/Services/Fleet/peer_channel.cpp
@@ -28,8 +28,8 @@
     if (isEmpty)
         return std::nullopt;
     m_receivedBytes += datagram.size;
-    auto const bytes = m_assembler.add(
-        datagram.sender, { reinterpret_cast<char const*>(m_buffer.data()), datagram.size }, now);
+    auto const bytes
+        = m_assembler.add(datagram.sender, { reinterpret_cast<char const*>(m_buffer.data()), datagram.size }, now);
     if (!bytes)
         return std::nullopt;
     auto message = decodeFleetMessage(*bytes);
--- /dev/null
+++ b/Tests/Placement/placement_fixture.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <Placement/token_router.h>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace bilberryyard {
+
+/// A balancer's router with servers of one service, driven packet by packet.
+class placement_fixture {
+public:
+    static constexpr uint16_t idempotentPort = 443;
+    static constexpr uint16_t nonIdempotentPort = 8080;
+    static constexpr uint16_t downloadPort = 8443;
+
+    placement_fixture()
+        : router({}, "a", 7)
+    {
+        route_table table;
+        table.version = 1;
+        table.services = { { "orders", 2'000 }, { "gallery", 2'000 } };
+        auto const add = [&](uint16_t port, request_kind kind, uint32_t service) {
+            service_route route;
+            route.kind = kind;
+            route.services = { { service, 1 } };
+            table.routes[service_address(port)] = route;
+        };
+        add(idempotentPort, request_kind::Idempotent, 0);
+        add(nonIdempotentPort, request_kind::NonIdempotent, 0);
+        add(downloadPort, request_kind::Download, 1);
+        router.setRoutes(std::make_shared<route_table const>(table));
+        router.pool().setDirectoryHealth(directory_health::Fresh);
+    }
+
+    static ip_endpoint service_address(uint16_t port) { return { ip_address::fromIpv4(0xc6120001), port }; }
+    static std::string nameOf(int number) { return "i-" + std::to_string(number); }
+    static uint32_t tokenOf(int number) { return flowToken(nameOf(number)); }
+
+    /// Announces a server.
+    void announce(int number, std::string const& zone = "a", backend_state state = backend_state::Ready,
+        std::string const& service = "orders")
+    {
+        backend_announcement announcement;
+        announcement.id = nameOf(number);
+        announcement.tag = static_cast<uint64_t>(number);
+        announcement.service = service;
+        announcement.address = { ip_address::fromIpv4(0x0a000000 + static_cast<uint32_t>(number)), 8'000 };
+        announcement.zone = zone;
+        announcement.slots = 2;
+        announcement.state = state;
+        announcement.startedAtMs = 100;
+        announcement.sequence = ++m_sequence;
+        directory.apply(announcement, now, now);
+        router.pool().update(*directory.find(announcement.id), now);
+    }
+
+    void pass(int milliseconds) { now += std::chrono::milliseconds(milliseconds); }
+
+    caller_packet packetOf(uint16_t callerPort, uint16_t port = idempotentPort) const
+    {
+        caller_packet packet;
+        packet.ends = { { ip_address::fromIpv4(0x64400007), callerPort }, service_address(port) };
+        return packet;
+    }
+
+    /// Sends an opening packet.
+    packet_decision open(uint16_t callerPort, uint32_t copies = 0, uint16_t port = idempotentPort)
+    {
+        auto packet = packetOf(callerPort, port);
+        packet.purpose = packet_purpose::Open;
+        packet.sequence = 1'000;
+        packet.copies = copies;
+        return router.decide(packet, now);
+    }
+
+    /// Sends a request on a flow whose handshake is complete.
+    packet_decision request(
+        uint16_t callerPort, uint32_t token, uint32_t acknowledgement = 5'001, uint16_t port = idempotentPort)
+    {
+        auto packet = packetOf(callerPort, port);
+        packet.token = token;
+        packet.sequence = 1'001;
+        packet.acknowledgement = acknowledgement;
+        packet.payloadBytes = 100;
+        return router.decide(packet, now);
+    }
+
+    /// Acknowledges the first bytes of the answer.
+    packet_decision acknowledgeAnswer(uint16_t callerPort, uint32_t token, uint16_t port = idempotentPort)
+    {
+        auto packet = packetOf(callerPort, port);
+        packet.token = token;
+        packet.sequence = 1'101;
+        packet.acknowledgement = 6'000;
+        return router.decide(packet, now);
+    }
+
+    /// Opens a flow that the server answers at once.
+    uint32_t openAnswered(uint16_t callerPort, uint16_t port = idempotentPort)
+    {
+        auto const token = targetOf(open(callerPort, 0, port)).value();
+        completeHandshake(callerPort, token, port);
+        return token;
+    }
+
+    /// Sends the last packet of a handshake that the server has answered.
+    void completeHandshake(uint16_t callerPort, uint32_t token, uint16_t port = idempotentPort)
+    {
+        auto packet = packetOf(callerPort, port);
+        packet.token = token;
+        packet.sequence = 1'001;
+        packet.acknowledgement = 5'001;
+        router.decide(packet, now);
+    }
+
+    /// @return Token of the server that the packet was forwarded to.
+    static std::optional<uint32_t> targetOf(packet_decision const& decision)
+    {
+        auto const* const target = std::get_if<forward_packet>(&decision);
+        return target ? std::optional(target->token) : std::nullopt;
+    }
+
+    static std::optional<reset_reason> resetOf(packet_decision const& decision)
+    {
+        auto const* const reset = std::get_if<reset_flow>(&decision);
+        return reset ? std::optional(reset->reason) : std::nullopt;
+    }
+
+    static std::optional<drop_reason> dropOf(packet_decision const& decision)
+    {
+        auto const* const drop = std::get_if<drop_packet>(&decision);
+        return drop ? std::optional(drop->reason) : std::nullopt;
+    }
+
+    monotonic_time now = monotonic_time {} + std::chrono::seconds(1'000);
+    backend_directory directory;
+    token_router router;
+
+private:
+    uint64_t m_sequence = 0;
+};
+
+} // namespace bilberryyard
--- /dev/null
+++ b/Tests/Platform/test_bodies.cpp
@@ -0,0 +1,179 @@
+#include <Base/error_kind.h>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <platform/announcement_body.h>
+#include <platform/boot_settings.h>
+#include <platform/configuration_body.h>
+
+using namespace bilberryyard;
+using namespace bilberryyard::platform;
+
+namespace {
+
+std::string const heartbeat = R"({"Service":"huvo11a","Addr":"10.128.0.9:8080","Zone":"hobart-a","Version":"v1",)"
+                              R"("Slots":3,"State":"ready","ColdLeftMs":250,"Seq":4,"born":1785320285162})";
+
+std::string replaced(std::string text, std::string const& from, std::string const& to)
+{
+    auto const place = text.find(from);
+    BOOST_REQUIRE(place != std::string::npos);
+    return text.replace(place, from.size(), to);
+}
+
+BOOST_AUTO_TEST_CASE(heartbeat_is_decoded_once)
+{
+    auto const result = readHeartbeat("i-7f3a91c2", heartbeat);
+    BOOST_REQUIRE(result.ok());
+    BOOST_TEST(result->tag == 0x7f3a91c2u);
+    BOOST_TEST(result->service == "huvo11a");
+    BOOST_TEST(result->address.toText() == "10.128.0.9:8080");
+    BOOST_TEST(result->slots == 3u);
+    BOOST_CHECK(result->state == backend_state::Ready);
+    BOOST_CHECK(result->warmUpLeft == std::chrono::milliseconds(250));
+    BOOST_TEST(result->sequence == 4u);
+    BOOST_TEST(result->startedAtMs == 1785320285162);
+}
+
+struct body_row {
+    char const* name;
+    char const* from;
+    char const* to;
+};
+std::ostream& operator<<(std::ostream& stream, body_row const& row) { return stream << row.name; }
+
+body_row const heartbeatRows[] = {
+    { "no service", R"("Service":"huvo11a",)", "" },
+    { "service of another type", R"("huvo11a")", "7" },
+    { "empty service", R"("huvo11a")", R"("")" },
+    { "address without a port", "10.128.0.9:8080", "10.128.0.9" },
+    { "unknown state", R"("ready")", R"("warming")" },
+    { "number as text", R"("Seq":4)", R"("Seq":"4")" },
+    { "negative number", R"("Seq":4)", R"("Seq":-4)" },
+    { "fraction", R"("Slots":3)", R"("Slots":2.5)" },
+    { "no slots", R"("Slots":3)", R"("Slots":0)" },
+    { "time of start of another type", "1785320285162", R"("yesterday")" },
+    { "cut short", R"(,"born":1785320285162})", "" },
+    { "no object", heartbeat.c_str(), "[1,2]" },
+    { "unreadable bytes", heartbeat.c_str(), "\xff\xfe{" },
+};
+
+// Guards against a server that another writer's call names.
+BOOST_DATA_TEST_CASE(unreadable_heartbeat_names_no_server, heartbeatRows, row)
+{
+    auto const result = readHeartbeat("i-7f3a91c2", replaced(heartbeat, row.from, row.to));
+    BOOST_CHECK(errorKindOf(result.status()) == error_kind::InvalidArgument);
+}
+
+BOOST_AUTO_TEST_CASE(heartbeat_without_a_time_of_start_is_taken)
+{
+    auto const result = readHeartbeat("i-7f3a91c2", replaced(heartbeat, R"(,"born":1785320285162)", ""));
+    BOOST_REQUIRE(result.ok());
+    BOOST_TEST(result->startedAtMs == 0);
+}
+
+std::string const configuration
+    = R"({"Version":7,"Routes":[{"Name":"r-1","Hostname":"198.18.0.1","PathPrefix":"/8080/","Kind":"unsafe",)"
+      R"("TimeoutMs":2500,"TargetLatencyMs":250,"Priority":1,"Service":"huvo11a","MaxAttempts":2},)"
+      R"({"Name":"r-2","Hostname":"198.18.0.1","PathPrefix":"/8443/","Kind":"safe","TimeoutMs":2000,)"
+      R"("TargetLatencyMs":200,"Priority":2,"Split":[{"Service":"huvo11a","Weight":90},)"
+      R"({"Service":"wuno96b","Weight":10}],"MaxAttempts":2}],)"
+      R"("Services":[{"Name":"huvo11a","HealthPath":"/health","MaxConns":2000,"Protocol":"h1","Tls":false},)"
+      R"({"Name":"wuno96b","HealthPath":"/health","MaxConns":2000,"Protocol":"h1","Tls":false}],)"
+      R"("Limits":{"MaxHeaderBytes":16384,"IdleTimeoutMs":15000}})";
+
+BOOST_AUTO_TEST_CASE(configuration_is_decoded_once)
+{
+    auto const table = readConfiguration(configuration);
+    BOOST_REQUIRE(table.ok());
+    BOOST_TEST(table->version == 7u);
+    BOOST_TEST(table->services.size() == 2u);
+    BOOST_CHECK(table->idleTimeout == std::chrono::milliseconds(15'000));
+    auto const& order = table->routes.at({ ip_address::fromIpv4(0xc6120001), 8'080 });
+    BOOST_CHECK(order.kind == request_kind::NonIdempotent);
+    BOOST_CHECK(order.timeout == std::chrono::milliseconds(2'500));
+    auto const& feed = table->routes.at({ ip_address::fromIpv4(0xc6120001), 8'443 });
+    BOOST_REQUIRE(feed.services.size() == 2u);
+    BOOST_TEST(feed.services[0].weight == 90u);
+    BOOST_TEST(feed.services[1].service == 1u);
+}
+
+body_row const configurationRows[] = {
+    { "no version", R"("Version":7,)", "" },
+    { "version 0", R"("Version":7)", R"("Version":0)" },
+    { "version as text", R"("Version":7)", R"("Version":"7")" },
+    { "unknown service", R"("Service":"huvo11a","MaxAttempts")", R"("Service":"nobody","MaxAttempts")" },
+    { "no service", R"("Service":"huvo11a","MaxAttempts")", R"("MaxAttempts")" },
+    { "same address and port twice", "/8443/", "/8080/" },
+    { "timeout 0", R"("TimeoutMs":2500)", R"("TimeoutMs":0)" },
+    { "no timeout", R"("TimeoutMs":2500,)", "" },
+    { "unknown kind", R"("unsafe")", R"("wild")" },
+    { "no address", R"("198.18.0.1","PathPrefix":"/8443/")", R"("example","PathPrefix":"/8443/")" },
+    { "no port", "/8443/", "/" },
+    { "port out of range", "/8443/", "/70000/" },
+    { "unknown service in a split", R"({"Service":"wuno96b")", R"({"Service":"nobody")" },
+    { "all weights 0", R"("Weight":90},{"Service":"wuno96b","Weight":10})", R"("Weight":0})" },
+    { "service twice", R"({"Name":"wuno96b")", R"({"Name":"huvo11a")" },
+    { "routes of another type", R"("Routes":[)", R"("Routes":3,"Other":[)" },
+    { "cut short", R"("Limits":{"MaxHeaderBytes":16384,"IdleTimeoutMs":15000}})", "" },
+};
+
+// Guards against an invalid configuration that is acknowledged.
+BOOST_DATA_TEST_CASE(invalid_configuration_is_refused, configurationRows, row)
+{
+    auto const table = readConfiguration(replaced(configuration, row.from, row.to));
+    BOOST_CHECK(errorKindOf(table.status()) == error_kind::InvalidArgument);
+}
+
+std::string const settingsText = R"(
+Node = "core-a-1"
+Serves = ["control"]
+Ip = "10.1.0.12"
+Zone = "a"
+PeerPortRange = [7720,7735]
+Seeds = ["10.1.0.12:8166","10.2.0.41:8166"]
+Bootstrap = true
+DataDir = "/data/control"
+HeartbeatMs = 770
+Unknown = "ignored"
+[Listen]
+Control = "10.1.0.12:8166"
+[FaultTolerance]
+Machines = 2
+[Bounds]
+GraceS = 6
+)";
+
+BOOST_AUTO_TEST_CASE(settings_are_decoded_once)
+{
+    auto const settings = readBootSettings(settingsText);
+    BOOST_REQUIRE(settings.ok());
+    BOOST_CHECK(settings->role == host_role::Control);
+    BOOST_CHECK(settings->founding == founding_permission::Granted);
+    BOOST_TEST(settings->toleratedLosses == 2u);
+    BOOST_TEST(settings->peerPort == 7'720);
+    BOOST_TEST(settings->seeds.size() == 2u);
+    BOOST_CHECK(settings->announcementInterval == std::chrono::milliseconds(770));
+}
+
+body_row const settingsRows[] = {
+    { "no name", "Node = \"core-a-1\"", "" },
+    { "no address", "Ip = \"10.1.0.12\"", "" },
+    { "bad address", "10.1.0.12\"\nZone", "ten\"\nZone" },
+    { "no peer port", "PeerPortRange = [7720,7735]", "" },
+    { "no seeds", "Seeds", "Sides" },
+    { "bad seed", "10.2.0.41:8166", "10.2.0.41" },
+    { "no listener", "[Listen]", "[Silent]" },
+    { "no data folder", "DataDir", "DataTent" },
+    { "interval out of range", "770", "0" },
+    { "no TOML", "Node = ", "Node = = " },
+};
+
+// Guards against a process that starts with settings that it does not understand.
+BOOST_DATA_TEST_CASE(bad_settings_are_refused, settingsRows, row)
+{
+    auto const settings = readBootSettings(replaced(settingsText, row.from, row.to));
+    BOOST_CHECK(errorKindOf(settings.status()) == error_kind::InvalidArgument);
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/Transport/test_datagram_fragments.cpp
@@ -0,0 +1,103 @@
+#include <Transport/datagram_fragments.h>
+#include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bilberryyard;
+
+namespace {
+
+ip_endpoint const sender { ip_address::fromIpv4(0x7f000001), 7'720 };
+monotonic_time const start = monotonic_time {} + std::chrono::seconds(100);
+
+std::string messageOf(size_t size)
+{
+    std::string message(size, '\0');
+    for (size_t index = 0; index < size; ++index)
+        message[index] = static_cast<char>(index * 31 + index / 251);
+    return message;
+}
+
+// Guards against messages that change on their way in datagrams of any order.
+BOOST_DATA_TEST_CASE(
+    message_survives_in_any_order, boost::unit_test::data::make({ 0, 1, 8'175, 8'176, 8'177, 200'000 }), size)
+{
+    auto const message = messageOf(static_cast<size_t>(size));
+    auto datagrams = splitIntoDatagrams(message, 5);
+    std::reverse(datagrams.begin(), datagrams.end());
+    datagram_assembler assembler;
+    std::optional<std::string> result;
+    for (auto const& datagram : datagrams) {
+        BOOST_TEST(!result.has_value());
+        BOOST_TEST(datagram.size() <= maximumDatagramBytes);
+        result = assembler.add(sender, datagram, start);
+    }
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((*result == message));
+}
+
+BOOST_AUTO_TEST_CASE(message_above_the_limit_is_refused)
+{
+    BOOST_TEST(splitIntoDatagrams(messageOf(maximumMessageBytes + 1), 1).empty());
+}
+
+struct damage_row {
+    char const* name;
+    std::string (*damage)(std::string);
+};
+std::ostream& operator<<(std::ostream& stream, damage_row const& row) { return stream << row.name; }
+
+damage_row const damageRows[] = {
+    { "empty", [](std::string) { return std::string(); } },
+    { "shorter than its header", [](std::string datagram) { return datagram.substr(0, 10); } },
+    { "cut short", [](std::string datagram) { return datagram.substr(0, datagram.size() - 1); } },
+    { "changed byte",
+        [](std::string datagram) {
+            datagram.back() ^= 1;
+            return datagram;
+        } },
+    { "other format",
+        [](std::string datagram) {
+            datagram[0] ^= 1;
+            return datagram;
+        } },
+    { "part beyond the message",
+        [](std::string datagram) {
+            datagram[8] = 9;
+            return datagram;
+        } },
+};
+
+// Guards against foreign or damaged datagrams that are taken for messages.
+BOOST_DATA_TEST_CASE(damaged_datagram_is_counted_and_dropped, damageRows, row)
+{
+    datagram_assembler assembler;
+    auto const datagram = row.damage(splitIntoDatagrams(messageOf(100), 1).front());
+    BOOST_TEST(!assembler.add(sender, datagram, start).has_value());
+    BOOST_TEST(assembler.refused() == 1u);
+}
+
+// Guards against a duplicate that completes a message with a missing part.
+BOOST_AUTO_TEST_CASE(duplicate_part_does_not_complete_a_message)
+{
+    auto const datagrams = splitIntoDatagrams(messageOf(20'000), 1);
+    datagram_assembler assembler;
+    BOOST_TEST(!assembler.add(sender, datagrams[0], start).has_value());
+    BOOST_TEST(!assembler.add(sender, datagrams[0], start).has_value());
+    BOOST_TEST(!assembler.add(sender, datagrams[1], start).has_value());
+    BOOST_TEST(assembler.add(sender, datagrams[2], start).has_value());
+}
+
+// Guards against memory that grows with parts of messages that never arrive whole.
+BOOST_AUTO_TEST_CASE(incomplete_message_is_forgotten)
+{
+    auto const datagrams = splitIntoDatagrams(messageOf(10'000), 1);
+    datagram_assembler assembler;
+    BOOST_TEST(!assembler.add(sender, datagrams[0], start).has_value());
+    auto const late = start + std::chrono::seconds(3);
+    BOOST_TEST(!assembler.add(sender, datagrams[1], late).has_value());
+    BOOST_TEST(assembler.add(sender, datagrams[0], late).has_value());
+}
+
+} // namespace
