--- a/Libraries/Base/event_logger.cpp
+++ b/Libraries/Base/event_logger.cpp
@@ -1,5 +1,7 @@
 #include <Base/event_logger.h>
 
+#include <Base/line_output.h>
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -7,6 +9,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace bilberryyard {
 
@@ -27,6 +30,41 @@
         return log4cplus::ERROR_LOG_LEVEL;
     }
 
+    line_output& standardOutput()
+    {
+        static line_output output(STDOUT_FILENO);
+        return output;
+    }
+
+    class bounded_appender : public log4cplus::Appender {
+    public:
+        explicit bounded_appender(line_output& output)
+            : m_output(output)
+        {
+        }
+        bounded_appender(bounded_appender const&) = delete;
+        bounded_appender& operator=(bounded_appender const&) = delete;
+        ~bounded_appender() override { destructorImpl(); }
+
+        void close() override { closed = true; }
+
+    protected:
+        void append(log4cplus::spi::InternalLoggingEvent const& event) override { m_output.append(formatEvent(event)); }
+
+    private:
+        line_output& m_output;
+    };
+
+    void useAppender(log4cplus::SharedAppenderPtr const& appender, log_severity minimum)
+    {
+        static log4cplus::Initializer initializer;
+        appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %p %c %m%n"));
+        auto root = log4cplus::Logger::getRoot();
+        root.removeAllAppenders();
+        root.addAppender(appender);
+        root.setLogLevel(levelOf(minimum));
+    }
+
 } // namespace
 
 struct event_logger::implementation {
@@ -35,15 +73,16 @@
 
 void event_logger::configureProcess(log_severity minimum)
 {
-    static log4cplus::Initializer initializer;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %p %c %m%n"));
-    auto root = log4cplus::Logger::getRoot();
-    root.removeAllAppenders();
-    root.addAppender(appender);
-    root.setLogLevel(levelOf(minimum));
+    useAppender(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)), minimum);
 }
 
+void event_logger::configureBoundedOutput(log_severity minimum)
+{
+    useAppender(log4cplus::SharedAppenderPtr(new bounded_appender(standardOutput())), minimum);
+}
+
+void event_logger::flush() { standardOutput().flush(); }
+
 event_logger::event_logger(std::string const& component)
     : m_implementation(new implementation { log4cplus::Logger::getInstance(component) })
 {
--- a/Libraries/Base/event_logger.h
+++ b/Libraries/Base/event_logger.h
@@ -14,6 +14,14 @@
     /// @param minimum Events below this severity are not written.
     static void configureProcess(log_severity minimum);
 
+    /// Sets up log4cplus for the process: lines are collected and written to standard output in batches, and dropped
+    /// rather than waited for.
+    /// @param minimum Events below this severity are not written.
+    static void configureBoundedOutput(log_severity minimum);
+
+    /// Writes the collected lines. Called often by a process with bounded output; does nothing in others.
+    static void flush();
+
     /// @param component Name of the component, the logger name in the output.
     explicit event_logger(std::string const& component);
     event_logger(event_logger const&) = delete;
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -11,6 +11,8 @@
     // Spreads flows over servers whose costs differ by less than anything that matters.
     constexpr double tieBreak = 0.02;
     constexpr double usualGain = 0.02;
+    // Samples that wait for the metrics; more are left out.
+    constexpr size_t maximumWaitingSamples = 256;
 
     double seconds(duration value) { return std::chrono::duration<double>(value).count(); }
 
@@ -165,6 +167,8 @@
 void backend_pool::noteResponseTime(pooled_backend& backend, duration time, monotonic_time now)
 {
     auto const sample = seconds(time);
+    if (m_responseTimes.size() < maximumWaitingSamples)
+        m_responseTimes.push_back(sample);
     auto& usual = m_usualSeconds[backend.entry.announcement.service];
     usual = usual == 0 ? sample : usual + usualGain * (sample - usual);
     if (usual <= 0)
@@ -205,6 +209,8 @@
     backend.load.ejectedUntil
         = now + std::min<duration>(m_settings.firstEjection * (1 << doublings), m_settings.longestEjection);
     ++backend.load.ejections;
+    auto const time = std::chrono::duration_cast<std::chrono::milliseconds>(backend.load.ejectedUntil - now);
+    m_newEjections.emplace_back(backend.entry.announcement.id, time.count());
 }
 
 bool backend_pool::isPresumedDead(pooled_backend const& backend, monotonic_time now) const
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bilberryyard {
@@ -75,6 +76,11 @@
     /// @param since When it was sent first.
     void noteUnanswered(pooled_backend& backend, monotonic_time since, monotonic_time now);
 
+    /// @return Servers that were ejected since the last call, and for how many milliseconds.
+    std::vector<std::pair<std::string, int64_t>> takeEjections() { return std::exchange(m_newEjections, {}); }
+    /// @return Response times since the last call in seconds; at most a few hundred.
+    std::vector<double> takeResponseTimes() { return std::exchange(m_responseTimes, {}); }
+
     size_t size() const { return m_backends.size(); }
     /// @param service Name of a service.
     /// @return How many of its servers are ready.
@@ -103,6 +109,8 @@
     std::map<std::string, std::vector<uint32_t>> m_services;
     /// Smoothed response time over all servers of a service.
     std::map<std::string, double> m_usualSeconds;
+    std::vector<std::pair<std::string, int64_t>> m_newEjections;
+    std::vector<double> m_responseTimes;
 };
 
 } // namespace bilberryyard
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -14,6 +14,34 @@
 
 } // namespace
 
+char const* nameOf(reset_reason reason)
+{
+    switch (reason) {
+    case reset_reason::NoRoute:
+        return "no_route";
+    case reset_reason::NoServer:
+        return "no_server";
+    case reset_reason::ServerGone:
+        return "server_gone";
+    case reset_reason::ServerSilent:
+        return "server_silent";
+    }
+    return "unknown";
+}
+
+char const* nameOf(drop_reason reason)
+{
+    switch (reason) {
+    case drop_reason::UnknownToken:
+        return "unknown_token";
+    case drop_reason::NoToken:
+        return "no_token";
+    case drop_reason::NoConfiguration:
+        return "no_configuration";
+    }
+    return "unknown";
+}
+
 token_router::token_router(placement_settings const& settings, std::string const& zone, uint64_t seed)
     : m_pool(settings, zone, seed)
     , m_observer(settings, m_pool)
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -27,6 +27,10 @@
     NoConfiguration,
 };
 
+/// @return A stable name for logs and metrics.
+char const* nameOf(reset_reason reason);
+char const* nameOf(drop_reason reason);
+
 struct forward_packet {
     uint32_t token = noToken;
     /// Names the server in the datagram.
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -6,6 +6,7 @@
 #include "peer_channel.h"
 
 #include <Base/boot_clock.h>
+#include <Base/line_budget.h>
 #include <Kernel/metrics_registry.h>
 #include <Kernel/wake_signal.h>
 #include <Placement/token_router.h>
@@ -15,6 +16,7 @@
 #include <memory>
 #include <poll.h>
 #include <random>
+#include <sstream>
 
 namespace bilberryyard {
 
@@ -45,6 +47,10 @@
     static constexpr int packetsPerStep = 128;
     /// Packets wait here while the process has no processor time.
     static constexpr int receiveBufferBytes = 1 << 20;
+    /// Lines wait this long at most while the process is busy, and until the next wake-up otherwise.
+    static constexpr duration flushInterval = std::chrono::milliseconds(50);
+    /// Lines about flows in a second; a line costs about as much as a packet.
+    static constexpr uint32_t flowLinesPerSecond = 100;
     static constexpr duration sweepInterval = std::chrono::milliseconds(500);
     /// Packets that arrive before routes and servers are known wait this long in the socket: callers repeat opening
     /// packets no longer.
@@ -72,6 +78,8 @@
     void receivePackets();
     void forward(std::span<uint8_t> packet, caller_packet const& decoded, monotonic_time now);
     void reset(caller_packet const& packet, reset_reason reason);
+    void logFlow(
+        log_event const& event, caller_packet const& packet, uint32_t token, char const* outcome, monotonic_time now);
     void maintain(monotonic_time now);
 
     fleet_settings m_settings;
@@ -86,6 +94,8 @@
     bool m_isWithdrawn = false;
     monotonic_time m_startedAt;
     monotonic_time m_sweptAt;
+    monotonic_time m_flushedAt;
+    line_budget m_flowLines { flowLinesPerSecond };
     std::array<uint8_t, Format::prefixBytes + maximumPacketBytes> m_buffer {};
 };
 
@@ -143,6 +153,10 @@
         m_isReady = isReady;
         m_logger.emit(events::readinessChanged, isReady ? "ready=yes" : "ready=no");
     }
+    if (now - m_flushedAt >= flushInterval) {
+        m_flushedAt = now;
+        event_logger::flush();
+    }
     wait(now);
     receiveMessages();
     m_control.updateReadiness(bootTime());
@@ -195,8 +209,10 @@
 {
     auto const decision = m_router.decide(decoded, now);
     if (auto const* const target = std::get_if<forward_packet>(&decision)) {
-        if (decoded.purpose == packet_purpose::Open)
+        if (decoded.purpose == packet_purpose::Open) {
             Format::setToken(packet, target->token);
+            logFlow(events::flowPlaced, decoded, target->token, "forwarded", now);
+        }
         std::span<uint8_t, Format::prefixBytes> const prefix(m_buffer.data(), Format::prefixBytes);
         Format::writePrefix(prefix, target->tag);
         m_packets.send(
@@ -205,16 +221,39 @@
     }
     if (auto const* const refusal = std::get_if<reset_flow>(&decision)) {
         reset(decoded, refusal->reason);
+        logFlow(events::flowReset, decoded, decoded.token, nameOf(refusal->reason), now);
         return;
     }
     auto const reason = std::get<drop_packet>(decision).reason;
-    m_metrics.counter("packets_dropped_" + std::to_string(static_cast<int>(reason)) + "_total").add();
+    m_metrics.counter(std::string("packets_dropped_") + nameOf(reason) + "_total").add();
+    logFlow(events::packetDropped, decoded, decoded.token, nameOf(reason), now);
+}
+
+template <packet_format Format>
+void balancer_service<Format>::logFlow(
+    log_event const& event, caller_packet const& packet, uint32_t token, char const* outcome, monotonic_time now)
+{
+    if (!m_flowLines.take(now))
+        return;
+    std::ostringstream line;
+    line << "flow=" << packet.ends.caller.toText() << ">" << packet.ends.service.toText() << " copy=" << packet.copies
+         << " token=" << token << " version=" << m_router.version();
+    if (auto const* const backend = m_router.pool().find(token)) {
+        auto const& load = backend->load;
+        auto const heard = std::chrono::duration_cast<std::chrono::milliseconds>(now - backend->entry.heardAt);
+        line << " server=" << backend->entry.announcement.id << " zone=" << backend->entry.announcement.zone
+             << " state=" << static_cast<int>(backend->entry.announcement.state) << " busy=" << load.busy
+             << " opening=" << load.opening << " open=" << load.open << " unanswered=" << load.unanswered
+             << " slowness=" << load.slowness << " heard_ms=" << heard.count();
+    }
+    line << " outcome=" << outcome;
+    m_logger.emit(event, line.str());
 }
 
 template <packet_format Format>
 void balancer_service<Format>::reset(caller_packet const& packet, reset_reason reason)
 {
-    m_metrics.counter("flows_reset_" + std::to_string(static_cast<int>(reason)) + "_total").add();
+    m_metrics.counter(std::string("flows_reset_") + nameOf(reason) + "_total").add();
     // Callers receive packets at the port at which balancers do.
     m_packets.send({ packet.ends.caller.address, m_settings.packets->port }, Format::makeReset(packet));
 }
@@ -228,6 +267,14 @@
         m_control.setSeeds(*seeds);
         m_logger.emit(events::settingsReloaded, "seeds=" + std::to_string(seeds->size()));
     }
+    if (auto const count = m_flowLines.takeSuppressed(); count > 0)
+        m_logger.emit(events::linesSuppressed, "count=" + std::to_string(count));
+    for (auto const& [id, untilMs] : m_router.pool().takeEjections()) {
+        m_logger.emit(events::serverEjected, "server=" + id + " for_ms=" + std::to_string(untilMs));
+        m_metrics.counter("servers_ejected_total").add();
+    }
+    for (auto const sample : m_router.pool().takeResponseTimes())
+        m_metrics.distribution("backend_response_seconds").add(sample);
     m_metrics.setGauge("balancer_configuration_version", static_cast<double>(m_router.version()));
     m_metrics.setGauge("balancer_backends", static_cast<double>(m_router.pool().size()));
     m_metrics.setGauge("balancer_observed_flows", static_cast<double>(m_router.observedFlows()));
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -16,6 +16,8 @@
     // Callers give up after a second and ask another control host.
     constexpr std::chrono::milliseconds answerLimit { 900 };
     constexpr duration greetInterval = std::chrono::milliseconds(700);
+    // Lines wait this long at most while the process is busy, and until the next wake-up otherwise.
+    constexpr duration flushInterval = std::chrono::milliseconds(50);
     constexpr duration maintenanceInterval = std::chrono::seconds(1);
     // Renewals are sent together; a balancer gives up on a server after several announcement intervals.
     constexpr duration renewalInterval = std::chrono::milliseconds(500);
@@ -91,6 +93,7 @@
 announcement_effect control_service::announce(backend_announcement const& announcement)
 {
     auto const effect = m_feed.announce(announcement, bootTime());
+    m_metrics.counter("announcements_total").add();
     if (effect == announcement_effect::Added || effect == announcement_effect::Changed) {
         m_logger.emit(events::serverAnnounced,
             "server=" + announcement.id + " service=" + announcement.service
@@ -119,19 +122,35 @@
     return future.get();
 }
 
+void control_service::logRequest(char const* kind, uint64_t version, document_answer const& answer) const
+{
+    m_logger.emit(events::documentRequested,
+        std::string("kind=") + kind + " version=" + std::to_string(version)
+            + " leader=" + (answer.leader ? answer.leader->toText() : std::string("-"))
+            + " outcome=" + (answer.status.ok() ? std::string("ok") : "\"" + messageOf(answer.status) + "\""));
+}
+
 document_answer control_service::store(versioned_document document)
 {
-    return ask([this, document = std::move(document)](std::shared_ptr<std::promise<document_answer>> const& result) {
-        m_group.store(
-            document, [result](document_answer const& answer) { result->set_value(answer); }, bootTime());
-    });
+    auto const version = document.version;
+    auto const startedAt = bootTime();
+    auto answer
+        = ask([this, document = std::move(document)](std::shared_ptr<std::promise<document_answer>> const& result) {
+              m_group.store(
+                  document, [result](document_answer const& stored) { result->set_value(stored); }, bootTime());
+          });
+    m_metrics.distribution("store_seconds").add(std::chrono::duration<double>(bootTime() - startedAt).count());
+    logRequest("store", version, answer);
+    return answer;
 }
 
 document_answer control_service::read()
 {
-    return ask([this](std::shared_ptr<std::promise<document_answer>> const& result) {
+    auto answer = ask([this](std::shared_ptr<std::promise<document_answer>> const& result) {
         result->set_value(m_group.read(bootTime()));
     });
+    logRequest("read", answer.document.version, answer);
+    return answer;
 }
 
 void control_service::run(std::function<bool()> const& isStopping)
@@ -167,6 +186,10 @@
         readSeeds();
         updateMetrics();
     }
+    if (now - m_flushedAt >= flushInterval) {
+        m_flushedAt = now;
+        event_logger::flush();
+    }
     wait(now);
     receive();
 }
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -59,6 +59,7 @@
 
     template <typename Function>
     document_answer ask(Function function);
+    void logRequest(char const* kind, uint64_t version, document_answer const& answer) const;
 
     void step();
     void wait(monotonic_time now);
@@ -107,6 +108,7 @@
     bool m_isRestored = false;
     monotonic_time m_greetedAt;
     monotonic_time m_maintainedAt;
+    monotonic_time m_flushedAt;
 
     bounded_mailbox<std::function<void()>> m_tasks { 256 };
 };
