--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -120,10 +120,24 @@
     return now < backend.warmAt ? std::max(observed, m_settings.warmUpSlowness) : observed;
 }
 
-double backend_pool::cost(pooled_backend const& backend, request_kind kind, monotonic_time now)
+double backend_pool::idleFlowWeight(std::string const& service)
+{
+    uint32_t busy = 0;
+    uint32_t open = 0;
+    for (auto const token : m_services.at(service)) {
+        busy += m_backends.at(token).load.busy;
+        open += m_backends.at(token).load.open;
+    }
+    auto& share = m_busyShares[service];
+    if (open > 0)
+        share += m_settings.idleFlowGain * (static_cast<double>(busy) / open - share);
+    return std::clamp(share, m_settings.smallestIdleFlowWeight, m_settings.largestIdleFlowWeight);
+}
+
+double backend_pool::cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now)
 {
     auto const& load = backend.load;
-    auto const requests = 1 + load.busy + load.opening + m_settings.idleFlowWeight * load.open;
+    auto const requests = 1 + load.busy + load.opening + idleWeight * (load.open - std::min(load.busy, load.open));
     auto const slots = std::max<uint32_t>(backend.entry.announcement.slots, 1);
     auto value = requests / slots * slowness(backend, now);
     if (backend.entry.announcement.zone != m_zone)
@@ -137,6 +151,7 @@
     auto const tokens = m_services.find(service);
     if (tokens == m_services.end())
         return nullptr;
+    auto const idleWeight = idleFlowWeight(service);
     for (auto const level : { demand::Healthy, demand::Announced, demand::Ready, demand::JustLeaving }) {
         pooled_backend* best = nullptr;
         double bestCost = 0;
@@ -144,7 +159,7 @@
             auto& backend = m_backends.at(token);
             if (!meets(backend, level, now))
                 continue;
-            auto const value = cost(backend, kind, now);
+            auto const value = cost(backend, kind, idleWeight, now);
             if (best && value >= bestCost)
                 continue;
             best = &backend;
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -96,7 +96,8 @@
     };
 
     bool meets(pooled_backend const& backend, demand level, monotonic_time now) const;
-    double cost(pooled_backend const& backend, request_kind kind, monotonic_time now);
+    double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
+    double idleFlowWeight(std::string const& service);
     double slowness(pooled_backend const& backend, monotonic_time now) const;
     bool mayEject(pooled_backend const& candidate, monotonic_time now) const;
 
@@ -109,6 +110,8 @@
     std::map<std::string, std::vector<uint32_t>> m_services;
     /// Smoothed response time over all servers of a service.
     std::map<std::string, double> m_usualSeconds;
+    /// Smoothed share of the open flows of a service that are busy.
+    std::map<std::string, double> m_busyShares;
     std::vector<std::pair<std::string, int64_t>> m_newEjections;
     std::vector<double> m_responseTimes;
 };
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -34,10 +34,14 @@
     duration longestEjection = std::chrono::milliseconds(8'000);
     /// Share of a service's servers that may be ejected on evidence; with more, the path is at fault.
     double ejectionCap = 0.5;
-    /// What a flow without a request costs, in requests: callers pause between requests on a long flow.
-    double idleFlowWeight = 0.02;
+    /// What a flow without a request costs, in requests: callers pause between requests on a long flow. The share of
+    /// the open flows of a service that are busy is learned; these are its bounds.
+    double smallestIdleFlowWeight = 0.01;
+    double largestIdleFlowWeight = 0.3;
+    /// Weight of a new sample of that share, taken with each new flow.
+    double idleFlowGain = 0.01;
     /// What leaving the own availability zone costs, in requests per slot.
-    double remoteZoneCost = 1.0;
+    double remoteZoneCost = 0.7;
     /// The same for downloads, whose bytes between zones cost more than a short wait.
     double remoteZoneDownloadCost = 1.5;
     /// How much slower a server counts while it warms up.
