--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -68,44 +68,29 @@
 {
     auto& link = m_links[sender];
     link.heardAt = now;
-    for (auto const& record : message.records) {
-        auto const& id = record.announcement.id;
-        auto const effect = m_directory.apply(record.announcement, now - record.age, now);
-        m_idsByToken[flowToken(id)] = id;
-        if (effect == announcement_effect::Renewed)
-            m_router.pool().renew(flowToken(id), now - record.age);
-        if (effect == announcement_effect::Added || effect == announcement_effect::Changed) {
-            takeOver(id, now);
-            m_logger.emit(events::serverAnnounced,
-                "server=" + id + " service=" + record.announcement.service
-                    + " state=" + std::to_string(static_cast<int>(record.announcement.state))
-                    + " sequence=" + std::to_string(record.announcement.sequence) + " age_ms="
-                    + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(record.age).count())
-                    + " from=" + link.name);
-        }
-    }
-    for (auto const token : message.renewed) {
-        auto const id = m_idsByToken.find(token);
-        if (id == m_idsByToken.end())
-            continue;
-        m_directory.renew(id->second, now);
-        m_router.pool().renew(token, now);
-    }
-    bool const continues = link.epoch == message.epoch && message.fromRevision <= link.revision;
-    if (continues || message.fromRevision == 0) {
-        link.revision = link.epoch == message.epoch ? std::max(link.revision, message.toRevision) : message.toRevision;
-        link.epoch = message.epoch;
+    auto const changes = m_view.apply(sender, message, now);
+    for (auto const& [token, heardAt] : changes.renewed)
+        m_router.pool().renew(token, heardAt);
+    for (auto const& id : changes.changed) {
+        takeOver(id, now);
+        auto const& entry = *m_view.directory().find(id);
+        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.heardAt);
+        m_logger.emit(events::serverAnnounced,
+            "server=" + id + " service=" + entry.announcement.service
+                + " state=" + std::to_string(static_cast<int>(entry.announcement.state))
+                + " sequence=" + std::to_string(entry.announcement.sequence) + " age_ms=" + std::to_string(age.count())
+                + " from=" + link.name);
     }
 }
 
 void balancer_control::takeOver(std::string const& id, monotonic_time now)
 {
-    auto const* const entry = m_directory.find(id);
+    auto const* const entry = m_view.directory().find(id);
     if (!entry)
         return;
     m_router.pool().update(*entry, now);
     // A later start at the same address ends the earlier one.
-    for (auto const& [otherId, other] : m_directory.entries()) {
+    for (auto const& [otherId, other] : m_view.directory().entries()) {
         if (otherId != id && other.announcement.address == entry->announcement.address
             && other.announcement.state == backend_state::Gone)
             m_router.pool().update(other, now);
@@ -128,8 +113,10 @@
     m_greetedAt = now;
     fleet_host const self { { m_settings.address, m_settings.peerPort }, host_role::Balancer, m_settings.zone,
         m_settings.name, 0, {} };
-    for (auto const& [peer, link] : m_links)
-        m_channel.send(peer, hello_message { self, m_router.version(), link.epoch, link.revision });
+    for (auto const& [peer, link] : m_links) {
+        auto const held = m_view.positionOf(peer);
+        m_channel.send(peer, hello_message { self, m_router.version(), held.epoch, held.revision });
+    }
 }
 
 size_t balancer_control::freshControls(monotonic_time now) const
@@ -162,10 +149,8 @@
         return;
     greet(now);
     noteSilence(now);
-    for (auto const& id : m_directory.expire(now)) {
-        m_idsByToken.erase(flowToken(id));
+    for (auto const& id : m_view.expire(now))
         m_router.pool().remove(id);
-    }
     updateReadiness(now);
 }
 
@@ -174,7 +159,7 @@
     bool isComplete = false;
     for (auto const& [peer, link] : m_links) {
         bool const isHeard = link.heardAt != monotonic_time() && now - link.heardAt <= silenceLimit;
-        if (!isHeard || link.epoch == 0)
+        if (!isHeard || m_view.positionOf(peer).epoch == 0)
             continue;
         isComplete = isComplete || now >= link.completeAt;
         m_hasDirectory = m_hasDirectory || isComplete || link.isDirectoryRestored;
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -1,14 +1,13 @@
 #pragma once
 
+#include "directory_view.h"
 #include "fleet_settings.h"
 #include "known_hosts.h"
 #include "peer_channel.h"
 
 #include <Base/event_logger.h>
-#include <Membership/backend_directory.h>
 #include <Placement/token_router.h>
 #include <map>
-#include <unordered_map>
 
 namespace bilberryyard {
 
@@ -39,7 +38,6 @@
     /// @return Whether callers may be sent here: routes and servers are known.
     bool isReady() const { return m_router.version() > 0 && m_hasDirectory; }
 
-    backend_directory const& directory() const { return m_directory; }
     /// @return Control hosts that have been heard lately.
     size_t freshControls(monotonic_time now) const;
 
@@ -49,8 +47,6 @@
         /// When the control host had listened long enough to have heard every server.
         monotonic_time completeAt = monotonic_time::max();
         bool isDirectoryRestored = false;
-        uint64_t epoch = 0;
-        uint64_t revision = 0;
         std::string name;
         bool isSilent = false;
     };
@@ -71,8 +67,7 @@
     event_logger m_logger { "balancer" };
     known_hosts m_hosts;
     std::map<ip_endpoint, control_link> m_links;
-    backend_directory m_directory;
-    std::unordered_map<uint32_t, std::string> m_idsByToken;
+    directory_view m_view;
     bool m_hasDirectory = false;
     monotonic_time m_startedAt;
     monotonic_time m_greetedAt;
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -181,6 +181,7 @@
     if (now - m_maintainedAt >= maintenanceInterval) {
         m_maintainedAt = now;
         m_feed.expire(now);
+        m_others.expire(now);
         m_hosts.expire(now, hostLimit);
         saveLastKnown(now);
         readSeeds();
@@ -230,10 +231,12 @@
         m_logger.emit(events::hostHeard, "host=" + host.name + " peer=" + host.peer.toText() + " zone=" + host.zone);
     m_hosts.learn(host, now);
     m_channel.send(sender, makeWelcome(host.role, now));
+    if (auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now)) {
+        bool const isStart = message.directoryEpoch == 0 && host.role == host_role::Balancer;
+        m_channel.send(sender, isStart ? allServers(now) : *update);
+    }
     if (host.role != host_role::Balancer)
         return;
-    if (auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now))
-        m_channel.send(sender, *update);
     bool const isDue
         = m_group.isLeader() || now - m_routesChangedAt >= followerDelay || message.configurationVersion == 0;
     if (message.configurationVersion < m_routesVersion && isDue)
@@ -255,13 +258,26 @@
     return welcome;
 }
 
+void control_service::handle(ip_endpoint const& sender, directory_update const& message, monotonic_time now)
+{
+    m_others.apply(sender, message, now);
+}
+
+directory_update control_service::allServers(monotonic_time now) const
+{
+    auto update = m_feed.everything(now);
+    for (auto const& [id, entry] : m_others.directory().entries())
+        update.records.push_back({ entry.announcement, now - entry.heardAt });
+    return update;
+}
+
 void control_service::greetBalancers(monotonic_time now)
 {
     auto const balancers = m_hosts.list(host_role::Balancer, now, hostLimit);
     if (balancers.empty() || m_encodedRoutes.empty())
         return;
     auto const welcome = encodeFleetMessage(makeWelcome(host_role::Balancer, now));
-    auto const servers = encodeFleetMessage(m_feed.everything(now));
+    auto const servers = encodeFleetMessage(allServers(now));
     for (auto const& host : balancers) {
         m_channel.sendEncoded(host.peer, m_encodedRoutes);
         m_channel.sendEncoded(host.peer, servers);
@@ -310,10 +326,10 @@
 void control_service::greetPeers(monotonic_time now)
 {
     m_greetedAt = now;
-    hello_message const hello { self(), m_routesVersion, 0, 0 };
-    auto const bytes = encodeFleetMessage(hello);
-    for (auto const& peer : controlPeers(now))
-        m_channel.sendEncoded(peer, bytes);
+    for (auto const& peer : controlPeers(now)) {
+        auto const held = m_others.positionOf(peer);
+        m_channel.send(peer, hello_message { self(), m_routesVersion, held.epoch, held.revision });
+    }
 }
 
 void control_service::publishDirectory(monotonic_time now)
@@ -326,8 +342,10 @@
     if (!update)
         return;
     auto const bytes = encodeFleetMessage(*update);
-    for (auto const& host : m_hosts.list(host_role::Balancer, now, subscriberLimit))
-        m_channel.sendEncoded(host.peer, bytes);
+    for (auto const role : { host_role::Balancer, host_role::Control }) {
+        for (auto const& host : m_hosts.list(role, now, subscriberLimit))
+            m_channel.sendEncoded(host.peer, bytes);
+    }
 }
 
 void control_service::refreshRoutes(monotonic_time now)
@@ -394,11 +412,11 @@
         m_savedHosts = bytes;
         m_group.saveFile(hostsName, std::move(bytes));
     }
-    auto const revision = m_feed.revision();
+    auto const revision = m_feed.revision() + m_others.directory().revision();
     if (revision == m_savedRevision)
         return;
     m_savedRevision = revision;
-    m_group.saveFile(serversName, encodeFleetMessage(m_feed.everything(now)));
+    m_group.saveFile(serversName, encodeFleetMessage(allServers(now)));
 }
 
 void control_service::publishRoutes(monotonic_time now)
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -2,6 +2,7 @@
 
 #include "consensus_group.h"
 #include "directory_feed.h"
+#include "directory_view.h"
 #include "fleet_settings.h"
 #include "known_hosts.h"
 #include "peer_channel.h"
@@ -68,7 +69,7 @@
     void handle(ip_endpoint const& sender, welcome_message const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, control_envelope const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, join_request const& message, monotonic_time now);
-    void handle(ip_endpoint const&, directory_update const&, monotonic_time) { }
+    void handle(ip_endpoint const& sender, directory_update const& message, monotonic_time now);
     void handle(ip_endpoint const&, route_table const&, monotonic_time) { }
 
     void greetPeers(monotonic_time now);
@@ -78,6 +79,7 @@
     void readSeeds();
     void restoreLastKnown(monotonic_time now);
     void greetBalancers(monotonic_time now);
+    directory_update allServers(monotonic_time now) const;
     welcome_message makeWelcome(host_role receiver, monotonic_time now) const;
     void saveLastKnown(monotonic_time now);
     void updateMetrics();
@@ -95,6 +97,9 @@
     monotonic_time m_startedAt;
     known_hosts m_hosts;
     directory_feed m_feed;
+    /// What other control hosts hear. Balancers hear it from those; it serves a balancer that starts while they are
+    /// away.
+    directory_view m_others;
     consensus_group m_group;
 
     uint64_t m_routesVersion = 0;
