--- a/Services/Fleet/consensus_group.h
+++ b/Services/Fleet/consensus_group.h
@@ -88,6 +88,8 @@
 
 private:
     using storage_type = storage_duty::storage_type;
+    /// Time after which a data folder that could not be used is tried again.
+    static constexpr duration reopenDelay = std::chrono::milliseconds(500);
 
     absl::Status open(monotonic_time now);
     absl::Status found(storage_type& storage);
