Fleet: Send a starting host its whole directory once in 500 ms

Ruled out: renewals (4 bytes a server each 500 ms). Test: 20 directories for 20 greetings before, 1 after.

--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -27,6 +27,9 @@
     constexpr duration routesInterval = std::chrono::milliseconds(150);
     constexpr duration followerDelay = std::chrono::milliseconds(500);
     // Balancers greet every 700 ms; one that has been silent for longer is not written to.
+    // A host that starts greets every 150 ms; what was sent to it before is on its way. With 3,000 servers a directory
+    // has 270 KB, and hundreds of hosts may start at once.
+    constexpr duration wholeDirectoryInterval = std::chrono::milliseconds(500);
     constexpr duration subscriberLimit = std::chrono::seconds(8);
     constexpr duration hostLimit = std::chrono::seconds(60);
     // What was known last, beside the replicated log.
@@ -182,6 +185,7 @@
         m_maintainedAt = now;
         m_feed.expire(now);
         m_others.expire(now);
+        std::erase_if(m_wholeSentAt, [&](auto const& item) { return now - item.second > hostLimit; });
         m_hosts.expire(now, hostLimit);
         saveLastKnown(now);
         readSeeds();
@@ -231,10 +235,7 @@
         m_logger.emit(events::hostHeard, "host=" + host.name + " peer=" + host.peer.toText() + " zone=" + host.zone);
     m_hosts.learn(host, now);
     m_channel.send(sender, makeWelcome(host.role, now));
-    if (auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now)) {
-        bool const isStart = message.directoryEpoch == 0 && host.role == host_role::Balancer;
-        m_channel.send(sender, isStart ? allServers(now) : *update);
-    }
+    sendMissingServers(sender, message, now);
     if (host.role != host_role::Balancer)
         return;
     bool const isDue
@@ -243,6 +244,21 @@
         m_channel.sendEncoded(sender, m_encodedRoutes);
 }
 
+void control_service::sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now)
+{
+    auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now);
+    if (!update)
+        return;
+    if (update->fromRevision > 0)
+        return m_channel.send(receiver, *update);
+    auto& sentAt = m_wholeSentAt[receiver];
+    if (now - sentAt < wholeDirectoryInterval)
+        return;
+    sentAt = now;
+    bool const isStart = message.directoryEpoch == 0 && message.host.role == host_role::Balancer;
+    m_channel.send(receiver, isStart ? allServers(now) : *update);
+}
+
 welcome_message control_service::makeWelcome(host_role receiver, monotonic_time now) const
 {
     welcome_message welcome;
@@ -282,6 +298,7 @@
         m_channel.sendEncoded(host.peer, m_encodedRoutes);
         m_channel.sendEncoded(host.peer, servers);
         m_channel.sendEncoded(host.peer, welcome);
+        m_wholeSentAt[host.peer] = now;
     }
 }
 
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -12,6 +12,7 @@
 #include <Kernel/wake_signal.h>
 #include <absl/status/statusor.h>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -80,6 +81,7 @@
     void restoreLastKnown(monotonic_time now);
     void greetBalancers(monotonic_time now);
     directory_update allServers(monotonic_time now) const;
+    void sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now);
     welcome_message makeWelcome(host_role receiver, monotonic_time now) const;
     void saveLastKnown(monotonic_time now);
     void updateMetrics();
@@ -100,6 +102,8 @@
     /// What other control hosts hear. Balancers hear it from those; it serves a balancer that starts while they are
     /// away.
     directory_view m_others;
+    /// When a host was last sent a whole directory.
+    std::map<ip_endpoint, monotonic_time> m_wholeSentAt;
     consensus_group m_group;
 
     uint64_t m_routesVersion = 0;
--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -191,6 +191,35 @@
     BOOST_CHECK(!again.service->read().status.ok());
 }
 
+// Start of many balancers: each greets several times before the answer is there, and gets the directory once.
+BOOST_FIXTURE_TEST_CASE(impatient_greetings_are_answered_with_one_directory, control_fixture)
+{
+    running const host(settingsOf(1, { 1 }), metrics);
+    backend_announcement announcement;
+    announcement.id = "i-1";
+    announcement.service = "orders";
+    announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
+    host.service->announce(announcement);
+    auto channel = peer_channel::create({ addressOf(9), 27'921 }).value();
+    fleet_host const balancer { { addressOf(9), 27'921 }, host_role::Balancer, "a", "host-9", 0, {} };
+    // The first greeting makes the balancer known; changes are sent to it from then on.
+    channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 1, 0 });
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    bool isEmpty = false;
+    while (!isEmpty)
+        channel.receive(bootTime(), isEmpty);
+    for (int count = 0; count < 20; ++count)
+        channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 0, 0 });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    int directories = 0;
+    for (isEmpty = false; !isEmpty;) {
+        auto const message = channel.receive(bootTime(), isEmpty);
+        auto const* const update = message ? std::get_if<directory_update>(&message->message) : nullptr;
+        directories += update && !update->records.empty() ? 1 : 0;
+    }
+    BOOST_TEST(directories == 1);
+}
+
 // Guards against a host that lost its disk and is never taken back.
 BOOST_FIXTURE_TEST_CASE(host_with_an_empty_disk_joins_again, control_fixture)
 {
