--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -7,6 +7,6 @@
 if [ $# -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files 'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp')
+    mapfile -t files < <(git ls-files 'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp' 'platform/*.cpp')
 fi
 printf '%s\n' "${files[@]}" | xargs -P "${JOBS:-$(nproc)}" -n 1 clang-tidy -p "$folder" --quiet --extra-arg=-Wno-unknown-warning-option 2> >(grep -vE 'warnings? generated|Suppressed|Use -header-filter' >&2 || true)
