--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -167,6 +167,7 @@
     { "no data folder", "DataDir", "DataTent" },
     { "interval out of range", "770", "0" },
     { "no TOML", "Node = ", "Node = = " },
+    { "bytes that are no ASCII", "Unknown", "\xc3\xbcnknown" },
 };
 
 // Guards against a process that starts with settings that it does not understand.
