--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -87,6 +87,9 @@
             f'[Listen]\n{listen}\n[FaultTolerance]\nMachines = 1\n')
 
     def start(self):
+        # Overlapping faults may both restart a host; a second process would be left behind.
+        if self.process and self.process.poll() is None:
+            return
         self.write_settings(self.soak.seeds)
         log = open(self.folder / "log", "ab")
         self.process = subprocess.Popen(
