--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -55,8 +55,9 @@
     /// Packets that arrive before routes and servers are known wait this long in the socket: callers repeat opening
     /// packets no longer.
     static constexpr duration firstPacketsTime = std::chrono::milliseconds(1'400);
-    /// Routers ask every 500 ms and give up after two misses; the rest is for packets on their way.
-    static constexpr duration withdrawalTime = std::chrono::milliseconds(2'500);
+    /// Routers ask every 500 ms and give up after two misses; the rest is for packets on their way. Longer would only
+    /// let more hosts be away at a time when they are restarted in turn.
+    static constexpr duration withdrawalTime = std::chrono::milliseconds(1'250);
 
     balancer_service(fleet_settings const& settings, seed_source seeds, metrics_registry& metrics,
         datagram_socket packets, peer_channel channel);
@@ -136,6 +137,7 @@
         step();
     m_isWithdrawn = true;
     m_isReady = false;
+    m_logger.emit(events::readinessChanged, "ready=no reason=stopping");
     auto const end = bootTime() + std::min(withdrawalTime, m_settings.terminationGrace / 2);
     while (bootTime() < end)
         step();
