Placement: Take no repetition that waited with the first packet for evidence

Cause: packets that callers sent while a balancer could not read them come out of its socket together. A repeated handshake behind its first packet counted against the server and went to a second one; after a loss of power balancers ejected up to half of the healthy servers for 1 s, and the others shed. Ruled out: servers that were down (all answered within 20 ms).

Callers repeat after 200 ms at the earliest; what arrives within 150 ms of the first packet is no evidence. Test: repetitions_that_waited_with_the_first_packet _are_no_evidence, six checks failed before.

--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -45,42 +45,53 @@
         decrease(load->busy);
 }
 
-void flow_observer::enter(observed_flow& flow, phase state)
+void flow_observer::join(observed_flow const& flow)
 {
-    leave(flow);
-    flow.state = state;
     auto* const load = loadOf(flow);
     if (!load)
         return;
-    if (state == phase::Opening) {
+    if (flow.state == phase::Opening) {
         ++load->opening;
         return;
     }
     ++load->open;
-    if (state == phase::Busy)
+    if (flow.state == phase::Busy)
         ++load->busy;
 }
 
+void flow_observer::enter(observed_flow& flow, phase state)
+{
+    leave(flow);
+    flow.state = state;
+    join(flow);
+}
+
+flow_observer::observed_flow flow_observer::begin(
+    uint32_t token, phase state, uint32_t nextSequence, monotonic_time now)
+{
+    observed_flow flow;
+    flow.token = token;
+    flow.state = state;
+    flow.openedAt = flow.seenAt = flow.requestAt = flow.sentAt = now;
+    flow.sentUntil = nextSequence;
+    join(flow);
+    return flow;
+}
+
 void flow_observer::opened(caller_packet const& packet, uint32_t token, monotonic_time now)
 {
-    auto const known = m_flows.find(packet.ends);
+    auto known = m_flows.find(packet.ends);
     if (known == m_flows.end()) {
         if (m_flows.size() >= m_settings.maximumObservedFlows)
             return;
-        observed_flow flow { token, phase::Opening, now, now, now, 0, packet.sequence + 1 };
-        if (auto* const load = loadOf(flow))
-            ++load->opening;
-        m_flows.emplace(packet.ends, flow);
+        known = m_flows.emplace(packet.ends, observed_flow()).first;
+    } else if (known->second.token == token && known->second.state == phase::Opening) {
+        known->second.seenAt = now;
         return;
+    } else {
+        leave(known->second);
     }
-    auto& flow = known->second;
-    flow.seenAt = now;
-    if (flow.token == token && flow.state == phase::Opening)
-        return;
-    leave(flow);
-    flow = { token, phase::Opening, now, now, now, 0, packet.sequence + 1 };
-    if (auto* const load = loadOf(flow))
-        ++load->opening;
+    known->second = begin(token, phase::Opening, packet.sequence + 1, now);
 }
 
 void flow_observer::repeated(caller_packet const& packet, monotonic_time now)
@@ -88,6 +99,8 @@
     auto const flow = m_flows.find(packet.ends);
     if (flow == m_flows.end() || flow->second.state != phase::Opening)
         return;
+    if (now - flow->second.openedAt < m_settings.shortestRepetition)
+        return;
     if (auto* const backend = m_pool.find(flow->second.token))
         m_pool.noteUnanswered(*backend, flow->second.openedAt, now);
 }
@@ -99,10 +112,7 @@
         // The flow was opened through another balancer.
         if (m_flows.size() >= m_settings.maximumObservedFlows || packet.purpose != packet_purpose::Continue)
             return novelty::New;
-        observed_flow const flow { packet.token, phase::Idle, now, now, now, 0, packet.sequence };
-        known = m_flows.emplace(packet.ends, flow).first;
-        if (auto* const load = loadOf(flow))
-            ++load->open;
+        known = m_flows.emplace(packet.ends, begin(packet.token, phase::Idle, packet.sequence, now)).first;
     }
     auto& flow = known->second;
     flow.seenAt = now;
@@ -137,12 +147,14 @@
         return false;
     auto const end = packet.sequence + packet.payloadBytes;
     if (!isAfter(end, flow.sentUntil)) {
-        auto* const backend = m_pool.find(flow.token);
-        if (backend && flow.state == phase::Busy)
+        if (flow.state != phase::Busy || now - flow.sentAt < m_settings.shortestRepetition)
+            return false;
+        if (auto* const backend = m_pool.find(flow.token))
             m_pool.noteUnanswered(*backend, flow.requestAt, now);
-        return flow.state == phase::Busy;
+        return true;
     }
     flow.sentUntil = end;
+    flow.sentAt = now;
     if (flow.state == phase::Idle) {
         flow.requestAt = now;
         flow.requestAcknowledgement = packet.acknowledgement;
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -67,12 +67,17 @@
         uint32_t requestAcknowledgement = 0;
         /// End of the latest request's bytes.
         uint32_t sentUntil = 0;
+        /// When they were seen first.
+        monotonic_time sentAt;
     };
 
     void noteProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now);
     /// @return Whether the data was sent before and the caller still waits for an answer.
     bool noteData(observed_flow& flow, caller_packet const& packet, monotonic_time now);
+    /// @return A flow that counts in its server's load.
+    observed_flow begin(uint32_t token, phase state, uint32_t nextSequence, monotonic_time now);
     void enter(observed_flow& flow, phase state);
+    void join(observed_flow const& flow);
     void leave(observed_flow const& flow);
     backend_load* loadOf(observed_flow const& flow);
 
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -28,6 +28,9 @@
     /// that is slow or has a queue still answers somebody.
     duration presumeDeadSilence = std::chrono::milliseconds(300);
     double presumeDeadResponses = 8;
+    /// Callers repeat a packet after 200 ms at the earliest. A repetition that arrives sooner after the first one was
+    /// held up with it on the way to the balancer, or in its socket, and says nothing about the server.
+    duration shortestRepetition = std::chrono::milliseconds(150);
     /// Repeated packets without any answer after which a server is ejected. One may be a lost packet.
     uint32_t ejectAfter = 2;
     duration firstEjection = std::chrono::milliseconds(1'000);
--- a/Tests/Placement/test_load_patterns.cpp
+++ b/Tests/Placement/test_load_patterns.cpp
@@ -145,6 +145,40 @@
     }
 }
 
+struct backlog_row {
+    char const* name;
+    int waited;
+    uint32_t unanswered;
+};
+std::ostream& operator<<(std::ostream& stream, backlog_row const& row) { return stream << row.name; }
+
+backlog_row const backlogRows[] = {
+    { "all at once", 0, 0 },
+    { "soon after each other", 100, 0 },
+    { "as callers send them", 200, 1 },
+};
+
+// Backlog after a pause: the balancer reads packets and their repetitions together, which says nothing about servers.
+BOOST_DATA_TEST_CASE(repetitions_that_waited_with_the_first_packet_are_no_evidence, backlogRows, row)
+{
+    placement_fixture fixture;
+    for (int number = 1; number <= 6; ++number)
+        fixture.announce(number);
+    auto const first = placement_fixture::targetOf(fixture.open(20'000)).value();
+    auto const requested = fixture.openAnswered(20'001);
+    fixture.pass(300);
+    auto const opened = placement_fixture::targetOf(fixture.open(20'002)).value();
+    fixture.request(20'001, requested);
+    fixture.pass(row.waited);
+    auto const repeated = placement_fixture::targetOf(fixture.open(20'002, 1)).value();
+    fixture.request(20'001, requested);
+    BOOST_TEST(fixture.router.pool().find(opened)->load.unanswered == row.unanswered);
+    BOOST_TEST(fixture.router.pool().find(requested)->load.unanswered == row.unanswered);
+    // Two servers that answer one handshake would leave the caller with two tokens.
+    BOOST_TEST((repeated == opened) == (row.unanswered == 0));
+    BOOST_TEST(fixture.router.pool().find(first)->load.unanswered == 0u);
+}
+
 // Partition: when most servers seem dead the path is at fault, and nothing is set aside.
 BOOST_AUTO_TEST_CASE(few_servers_are_ejected_at_a_time)
 {
