Placement: Refuse new flows under lasting overload, the least important first

Cause: with more load than servers can do, all queues were full and nearly every answer late; nothing decided who is admitted. The lower quartile of response times tells overload from a few slow servers; refusals begin after 2 s of it.

--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -20,6 +20,7 @@
 
 backend_pool::backend_pool(placement_settings const& settings, std::string zone, uint64_t seed)
     : m_settings(settings)
+    , m_overload(settings)
     , m_zone(std::move(zone))
     , m_seed(seed)
 {
@@ -184,6 +185,7 @@
     auto const sample = seconds(time);
     if (m_responseTimes.size() < maximumWaitingSamples)
         m_responseTimes.push_back(sample);
+    m_overload.noteResponse(backend.entry.announcement.service, time, now);
     auto& usual = m_usualSeconds[backend.entry.announcement.service];
     usual = usual == 0 ? sample : usual + usualGain * (sample - usual);
     if (usual <= 0)
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -3,6 +3,7 @@
 #include <Membership/backend_directory.h>
 #include <Placement/backend_load.h>
 #include <Placement/flow_token.h>
+#include <Placement/overload_control.h>
 #include <Placement/placement_settings.h>
 #include <Placement/route_table.h>
 #include <map>
@@ -76,6 +77,9 @@
     /// @param since When it was sent first.
     void noteUnanswered(pooled_backend& backend, monotonic_time since, monotonic_time now);
 
+    /// @return Which new flows the services take.
+    overload_control const& overload() const { return m_overload; }
+
     /// @return Servers that were ejected since the last call, and for how many milliseconds.
     std::vector<std::pair<std::string, int64_t>> takeEjections() { return std::exchange(m_newEjections, {}); }
     /// @return Response times since the last call in seconds; at most a few hundred.
@@ -102,6 +106,7 @@
     bool mayEject(pooled_backend const& candidate, monotonic_time now) const;
 
     placement_settings m_settings;
+    overload_control m_overload;
     std::string m_zone;
     uint64_t m_seed;
     uint64_t m_drawn = 0;
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -7,6 +7,15 @@
 
 namespace bilberryyard {
 
+/// How long the quick quarter of a service's answers takes when new flows begin to be refused: both must be exceeded.
+struct refusal_limit {
+    /// Relative to the target latency of the route.
+    double targetShare = 0;
+    /// Relative to what answers take without a queue; the work itself varies less.
+    double unloadedFactor = 0;
+    auto operator<=>(refusal_limit const&) const = default;
+};
+
 /// Weights and limits of placement.
 struct placement_settings {
     /// How often servers announce themselves.
@@ -54,6 +63,21 @@
     double largestSlowness = 8;
     /// An estimate of slowness halves its distance to 1 in this time, so that a server gets another chance.
     duration slownessHalfLife = std::chrono::milliseconds(2'500);
+    /// Overload: from when on new flows of the least important routes to a service are refused, and those of the
+    /// others. Half of the answers take more than twice as long as the quick quarter once there is a queue.
+    refusal_limit refuseLeast { 0.25, 2 };
+    refusal_limit refuseHigher { 0.5, 3 };
+    /// Refusals grow to the largest share over this further part of the target latency.
+    double refuseRamp = 0.25;
+    /// The others show when the overload is over.
+    double largestRefusedShare = 0.95;
+    /// Refused callers are refused again for this time; about the time in which a caller's retries are over.
+    duration refusalPeriod = std::chrono::milliseconds(2'000);
+    /// How long there must have been a queue before anybody is refused: longer than servers need for what has gathered
+    /// during the restart of all balancers.
+    duration overloadPatience = std::chrono::milliseconds(2'000);
+    /// Without an answer for longer nothing is known about overload.
+    duration overloadMemory = std::chrono::milliseconds(1'000);
     /// A request without an answer counts as given up after this time.
     duration requestLimit = std::chrono::milliseconds(10'000);
     /// Flows that are observed at a time; further ones are forwarded without being observed.
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -1,7 +1,7 @@
 #include <Placement/token_router.h>
 
 #include <Base/hashing.h>
-#include <numeric>
+#include <algorithm>
 
 namespace bilberryyard {
 
@@ -21,6 +21,8 @@
         return "no_route";
     case reset_reason::NoServer:
         return "no_server";
+    case reset_reason::Overloaded:
+        return "overloaded";
     case reset_reason::ServerGone:
         return "server_gone";
     case reset_reason::ServerSilent:
@@ -54,6 +56,13 @@
     if (m_routes && table->version <= m_routes->version)
         return false;
     m_routes = std::move(table);
+    m_lastPriorities.clear();
+    for (auto const& [address, route] : m_routes->routes) {
+        for (auto const& target : route.services) {
+            auto& last = m_lastPriorities[m_routes->services.at(target.service).name];
+            last = std::max(last, route.priority);
+        }
+    }
     return true;
 }
 
@@ -74,23 +83,37 @@
     return services.at(route.services.back().service).name;
 }
 
+bool token_router::isAdmitted(
+    caller_packet const& packet, std::string const& service, service_route const& route, monotonic_time now) const
+{
+    bool const isLeast = route.priority >= m_lastPriorities.at(service);
+    auto const callerHash = hashBytes(packet.ends.caller.address.bytes, m_seed);
+    return m_pool.overload().admits(
+        service, route, isLeast ? route_importance::Least : route_importance::Higher, callerHash, now);
+}
+
 packet_decision token_router::open(caller_packet const& packet, monotonic_time now)
 {
     if (!m_routes)
         return discard_packet { discard_reason::NoConfiguration };
     auto const route = m_routes->routes.find(packet.ends.service);
     if (route == m_routes->routes.end() || route->second.services.empty())
-        return reset_flow { reset_reason::NoRoute };
+        return reset_flow { reset_reason::NoRoute, {} };
     if (packet.copies > 0)
         m_observer.repeated(packet, now);
     // Two servers that answer one handshake would leave the caller with two tokens. The first one keeps the flow
     // unless it has stopped answering everybody.
     auto* backend = m_pool.find(m_observer.handshakeServer(packet.ends));
-    if (!backend || !m_pool.mayRepeatHandshake(*backend, now))
-        backend = m_pool.select(chooseService(route->second), route->second.kind, now);
+    if (!backend || !m_pool.mayRepeatHandshake(*backend, now)) {
+        auto const& service = chooseService(route->second);
+        // A handshake that has reached a server stays admitted.
+        if (!backend && !isAdmitted(packet, service, route->second, now))
+            return reset_flow { reset_reason::Overloaded, m_pool.overload().quickResponse(service) };
+        backend = m_pool.select(service, route->second.kind, now);
+    }
     if (!backend) {
         m_observer.closed(packet.ends);
-        return reset_flow { reset_reason::NoServer };
+        return reset_flow { reset_reason::NoServer, {} };
     }
     m_observer.opened(packet, backend->token, now);
     return forwardTo(*backend);
@@ -118,12 +141,12 @@
         m_observer.closed(packet.ends);
         if (packet.purpose == packet_purpose::Abort)
             return discard_packet { discard_reason::UnknownToken };
-        return reset_flow { reset_reason::ServerGone };
+        return reset_flow { reset_reason::ServerGone, {} };
     }
     auto const novelty = m_observer.observed(packet, now);
     if (novelty == flow_observer::novelty::Repeated && isIdempotent(packet) && m_pool.isPresumedDead(*backend, now)) {
         m_observer.closed(packet.ends);
-        return reset_flow { reset_reason::ServerSilent };
+        return reset_flow { reset_reason::ServerSilent, {} };
     }
     return forwardTo(*backend);
 }
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -4,7 +4,9 @@
 #include <Placement/caller_packet.h>
 #include <Placement/flow_observer.h>
 #include <Placement/route_table.h>
+#include <map>
 #include <memory>
+#include <string>
 #include <variant>
 
 namespace bilberryyard {
@@ -13,6 +15,8 @@
 enum class reset_reason : uint8_t {
     NoRoute,
     NoServer,
+    /// The service has more to do than its servers can, and the flow is not among those that it takes.
+    Overloaded,
     ServerGone,
     /// The server answers nobody, and the caller may repeat its request elsewhere.
     ServerSilent,
@@ -41,6 +45,8 @@
 
 struct reset_flow {
     reset_reason reason = reset_reason::NoRoute;
+    /// For Overloaded: what the quick quarter of the service's answers takes.
+    duration quickResponse {};
     auto operator<=>(reset_flow const&) const = default;
 };
 
@@ -83,10 +89,14 @@
     packet_decision open(caller_packet const& packet, monotonic_time now);
     bool isIdempotent(caller_packet const& packet) const;
     std::string const& chooseService(service_route const& route);
+    bool isAdmitted(
+        caller_packet const& packet, std::string const& service, service_route const& route, monotonic_time now) const;
 
     backend_pool m_pool;
     flow_observer m_observer;
     std::shared_ptr<route_table const> m_routes;
+    /// Priority of the least important route to each service.
+    std::map<std::string, uint32_t> m_lastPriorities;
     uint64_t m_seed;
     uint64_t m_drawn = 0;
 };
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -223,7 +223,12 @@
     }
     if (auto const* const refusal = std::get_if<reset_flow>(&decision)) {
         reset(decoded, refusal->reason);
-        logFlow(events::flowReset, decoded, decoded.token, nameOf(refusal->reason), now);
+        std::string outcome = nameOf(refusal->reason);
+        if (refusal->reason == reset_reason::Overloaded) {
+            auto const quick = std::chrono::duration_cast<std::chrono::milliseconds>(refusal->quickResponse);
+            outcome += " quick_ms=" + std::to_string(quick.count());
+        }
+        logFlow(events::flowReset, decoded, decoded.token, outcome.c_str(), now);
         return;
     }
     auto const reason = std::get<discard_packet>(decision).reason;
