Fleet: Ask one host in turn for its list of hosts

Each greeting was answered with all control hosts, and those of control hosts with all balancers too: bytes that grow with the square of the hosts.

--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -92,6 +92,7 @@
         hello.set_configuration_version(message.configurationVersion);
         hello.set_directory_epoch(message.directoryEpoch);
         hello.set_directory_revision(message.directoryRevision);
+        hello.set_wants_hosts(message.hosts == host_list::Wanted);
     }
 
     void write(wire::FleetMessage& target, welcome_message const& message)
@@ -154,7 +155,7 @@
         if (!host.ok())
             return host.status();
         return hello_message { *std::move(host), source.configuration_version(), source.directory_epoch(),
-            source.directory_revision() };
+            source.directory_revision(), source.wants_hosts() ? host_list::Wanted : host_list::Unwanted };
     }
 
     absl::StatusOr<fleet_message> read(wire::Welcome const& source)
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -29,6 +29,13 @@
     auto operator<=>(fleet_host const&) const = default;
 };
 
+/// Whether a greeting asks for the hosts that its receiver knows.
+enum class host_list : uint8_t {
+    /// The receiver names itself alone.
+    Unwanted,
+    Wanted,
+};
+
 /// Every daemon says this to each control host that it knows, at an interval.
 struct hello_message {
     fleet_host host;
@@ -36,6 +43,7 @@
     /// What the sender holds of the receiver's directory: the run that it comes from, and up to which revision.
     uint64_t directoryEpoch = 0;
     uint64_t directoryRevision = 0;
+    host_list hosts = host_list::Unwanted;
     auto operator<=>(hello_message const&) const = default;
 };
 
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -113,9 +113,14 @@
     m_greetedAt = now;
     fleet_host const self { { m_settings.address, m_settings.peerPort }, host_role::Balancer, m_settings.zone,
         m_settings.name, 0, {} };
+    m_listTurn.beginRound(m_links.size());
     for (auto const& [peer, link] : m_links) {
         auto const held = m_view.positionOf(peer);
-        m_channel.send(peer, hello_message { self, m_router.version(), held.epoch, held.revision });
+        auto const turn = m_listTurn.next();
+        // A balancer that cannot serve yet needs every control host that it can find.
+        m_channel.send(peer,
+            hello_message {
+                self, m_router.version(), held.epoch, held.revision, isReady() ? turn : host_list::Wanted });
     }
 }
 
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -2,6 +2,7 @@
 
 #include "directory_view.h"
 #include "fleet_settings.h"
+#include "host_list_turn.h"
 #include "known_hosts.h"
 #include "peer_channel.h"
 
@@ -66,6 +67,7 @@
     token_router& m_router;
     event_logger m_logger { "balancer" };
     known_hosts m_hosts;
+    host_list_turn m_listTurn;
     std::map<ip_endpoint, control_link> m_links;
     directory_view m_view;
     bool m_hasDirectory = false;
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -26,10 +26,12 @@
     // The leader sends new routes at once; the others only to balancers that still lack them later.
     constexpr duration routesInterval = std::chrono::milliseconds(150);
     constexpr duration followerDelay = std::chrono::milliseconds(500);
-    // Balancers greet every 700 ms; one that has been silent for longer is not written to.
+    // A host that starts asks all others for their lists: several greetings, some of which may be lost.
+    constexpr duration startTime = std::chrono::seconds(3);
     // A host that starts greets every 150 ms; what was sent to it before is on its way. With 3,000 servers a directory
     // has 270 KB, and hundreds of hosts may start at once.
     constexpr duration wholeDirectoryInterval = std::chrono::milliseconds(500);
+    // Balancers greet every 700 ms; one that has been silent for longer is not written to.
     constexpr duration subscriberLimit = std::chrono::seconds(8);
     constexpr duration hostLimit = std::chrono::seconds(60);
     // What was known last, beside the replicated log.
@@ -234,7 +236,7 @@
     if (!m_hosts.find(host.peer))
         m_logger.emit(events::hostHeard, "host=" + host.name + " peer=" + host.peer.toText() + " zone=" + host.zone);
     m_hosts.learn(host, now);
-    m_channel.send(sender, makeWelcome(host.role, now));
+    m_channel.send(sender, message.hosts == host_list::Wanted ? makeWelcome(host.role, now) : makeShortWelcome(now));
     sendMissingServers(sender, message, now);
     if (host.role != host_role::Balancer)
         return;
@@ -260,14 +262,21 @@
 }
 
 welcome_message control_service::makeWelcome(host_role receiver, monotonic_time now) const
+{
+    auto welcome = makeShortWelcome(now);
+    auto const append = [&](std::vector<fleet_host> const& hosts) {
+        welcome.hosts.insert(welcome.hosts.end(), hosts.begin(), hosts.end());
+    };
+    append(m_hosts.list(host_role::Control, now, hostLimit));
+    if (receiver == host_role::Control)
+        append(m_hosts.list(host_role::Balancer, now, subscriberLimit));
+    return welcome;
+}
+
+welcome_message control_service::makeShortWelcome(monotonic_time now) const
 {
     welcome_message welcome;
-    welcome.hosts = m_hosts.list(host_role::Control, now, hostLimit);
     welcome.hosts.push_back(self());
-    if (receiver == host_role::Control) {
-        auto const balancers = m_hosts.list(host_role::Balancer, now, subscriberLimit);
-        welcome.hosts.insert(welcome.hosts.end(), balancers.begin(), balancers.end());
-    }
     welcome.configurationVersion = m_routesVersion;
     welcome.uptime = now - m_startedAt;
     welcome.isDirectoryRestored = m_isRestored;
@@ -343,9 +352,15 @@
 void control_service::greetPeers(monotonic_time now)
 {
     m_greetedAt = now;
-    for (auto const& peer : controlPeers(now)) {
+    auto const peers = controlPeers(now);
+    bool const isStarting = now - m_startedAt < startTime;
+    m_listTurn.beginRound(peers.size());
+    for (auto const& peer : peers) {
         auto const held = m_others.positionOf(peer);
-        m_channel.send(peer, hello_message { self(), m_routesVersion, held.epoch, held.revision });
+        auto const turn = m_listTurn.next();
+        m_channel.send(peer,
+            hello_message {
+                self(), m_routesVersion, held.epoch, held.revision, isStarting ? host_list::Wanted : turn });
     }
 }
 
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -4,6 +4,7 @@
 #include "directory_feed.h"
 #include "directory_view.h"
 #include "fleet_settings.h"
+#include "host_list_turn.h"
 #include "known_hosts.h"
 #include "peer_channel.h"
 
@@ -82,7 +83,10 @@
     void greetBalancers(monotonic_time now);
     directory_update allServers(monotonic_time now) const;
     void sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now);
+    /// @return An answer that lists all hosts that the receiver has to know.
     welcome_message makeWelcome(host_role receiver, monotonic_time now) const;
+    /// @return An answer that names this host alone.
+    welcome_message makeShortWelcome(monotonic_time now) const;
     void saveLastKnown(monotonic_time now);
     void updateMetrics();
     std::vector<ip_endpoint> controlPeers(monotonic_time now) const;
@@ -98,6 +102,7 @@
     wake_signal m_wake;
     monotonic_time m_startedAt;
     known_hosts m_hosts;
+    host_list_turn m_listTurn;
     directory_feed m_feed;
     /// What other control hosts hear. Balancers hear it from those; it serves a balancer that starts while they are
     /// away.
--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
+#include <map>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -203,13 +204,13 @@
     auto channel = peer_channel::create({ addressOf(9), 27'921 }).value();
     fleet_host const balancer { { addressOf(9), 27'921 }, host_role::Balancer, "a", "host-9", 0, {} };
     // The first greeting makes the balancer known; changes are sent to it from then on.
-    channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 1, 0 });
+    channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 1, 0, host_list::Unwanted });
     std::this_thread::sleep_for(std::chrono::milliseconds(700));
     bool isEmpty = false;
     while (!isEmpty)
         channel.receive(bootTime(), isEmpty);
     for (int count = 0; count < 20; ++count)
-        channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 0, 0 });
+        channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 0, 0, host_list::Unwanted });
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     int directories = 0;
     for (isEmpty = false; !isEmpty;) {
@@ -220,6 +221,29 @@
     BOOST_TEST(directories == 1);
 }
 
+// Greetings of a large deployment: only those that ask are answered with all hosts.
+BOOST_FIXTURE_TEST_CASE(greeting_that_asks_for_no_hosts_gets_the_receiver_alone, control_fixture)
+{
+    running const host(settingsOf(1, { 1 }), metrics);
+    auto channel = peer_channel::create({ addressOf(9), 27'921 }).value();
+    fleet_host const other { { addressOf(8), 27'921 }, host_role::Control, "a", "host-8", 27'922, {} };
+    fleet_host const self { { addressOf(9), 27'921 }, host_role::Control, "a", "host-9", 27'922, {} };
+    std::map<host_list, size_t> listed;
+    channel.send({ addressOf(1), 27'921 }, hello_message { other, 0, 0, 0, host_list::Unwanted });
+    for (auto const hosts : { host_list::Unwanted, host_list::Wanted }) {
+        channel.send({ addressOf(1), 27'921 }, hello_message { self, 0, 0, 0, hosts });
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        for (bool isEmpty = false; !isEmpty;) {
+            auto const message = channel.receive(bootTime(), isEmpty);
+            auto const* const welcome = message ? std::get_if<welcome_message>(&message->message) : nullptr;
+            if (welcome)
+                listed[hosts] = welcome->hosts.size();
+        }
+    }
+    BOOST_TEST(listed[host_list::Unwanted] == 1u);
+    BOOST_TEST(listed[host_list::Wanted] == 3u);
+}
+
 // Guards against a host that lost its disk and is never taken back.
 BOOST_FIXTURE_TEST_CASE(host_with_an_empty_disk_joins_again, control_fixture)
 {
