--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -167,6 +167,7 @@
     { "no data folder", "DataDir", "DataTent" },
     { "interval out of range", "770", "0" },
     { "no TOML", "Node = ", "Node = = " },
+    { "no key in a table's header", "[Listen]", "[))" },
     { "bytes that are no ASCII", "Unknown", "\xc3\xbcnknown" },
 };
 
--- a/Tests/Platform/test_node_process.cpp
+++ b/Tests/Platform/test_node_process.cpp
@@ -85,8 +85,7 @@
     {
         return "Node = \"host-1\"\nZone = \"a\"\nIp = \"127.88.3.1\"\nPeerPortRange = [28121, 28122]\n"
                "Seeds = [\"127.88.3.1:28123\"]\nBootstrap = true\nServes = [\""
-            + role
-            + "\"]\nHeartbeatMs = 1000\nDataDir = \"" + m_folder
+            + role + "\"]\nHeartbeatMs = 1000\nDataDir = \"" + m_folder
             + "/data\"\n[Listen]\nDataAddr = \"127.88.3.1:28124\"\nReady = \"127.88.3.1:28125\"\n"
               "Control = \"127.88.3.1:28123\"\n[FaultTolerance]\nMachines = 1\n[Bounds]\nGraceS = 6\n";
     }
