--- a/Meta/Packages.cmake
+++ b/Meta/Packages.cmake
@@ -33,17 +33,26 @@
     target_link_libraries(${name} PRIVATE bilberryyard_options ${ARG_DEPENDS})
 endfunction()
 
-# bilberryyard_test(<name> [DEPENDS <target>...])
+# bilberryyard_test(<name> [DEPENDS <target>...] [SPLIT <case>...])
 # A Boost.Test program from the .cpp files of the current folder, registered with ctest.
-# One of the files defines BOOST_TEST_MODULE.
+# One of the files defines BOOST_TEST_MODULE. Long cases under SPLIT run as tests of their own, NAME_CASE, beside the
+# others. Each has NAME as its label.
 function(bilberryyard_test name)
-    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "DEPENDS;SPLIT" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS *.cpp)
     add_executable(${name} ${sources})
     target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK BILBERRYYARD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(${name} PRIVATE bilberryyard_options Boost::unit_test_framework ${ARG_DEPENDS})
-    add_test(NAME ${name} COMMAND ${name} --log_level=test_suite --report_level=short)
-    set_tests_properties(${name} PROPERTIES TIMEOUT 240)
+    set(arguments --log_level=test_suite --report_level=short)
+    set(others "")
+    foreach(case ${ARG_SPLIT})
+        add_test(NAME ${name}_${case} COMMAND ${name} --run_test=${case} ${arguments})
+        # Long tests start first.
+        set_tests_properties(${name}_${case} PROPERTIES TIMEOUT 240 COST 50 LABELS ${name})
+        list(APPEND others "--run_test=!${case}")
+    endforeach()
+    add_test(NAME ${name} COMMAND ${name} ${others} ${arguments})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 240 LABELS ${name})
 endfunction()
 
 # Meta/fuzz.sh builds the target fuzz_targets and runs the programs that fuzz-targets.txt names.
--- a/Meta/sanitize.sh
+++ b/Meta/sanitize.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the tests with AddressSanitizer and UndefinedBehaviorSanitizer, then with ThreadSanitizer, and runs them.
+# Runs the tests with AddressSanitizer and UndefinedBehaviorSanitizer (the default; clang, in the build of the fuzz
+# targets), or with ThreadSanitizer. Usage: Meta/sanitize.sh [address,undefined|thread]...
 # Left out, because they take several times as long and add no other code: the schedule shards 1 to 3 of the
 # replicated log (shard 0 runs) and the replays. Left out of the thread run, because Debian's ZeroMQ is not
 # instrumented and its locks are invisible to ThreadSanitizer: every test that opens a ZeroMQ socket.
@@ -8,22 +9,25 @@
 JOBS=${JOBS:-$(nproc)}
 kinds=("${@:-address,undefined}")
 for kind in "${kinds[@]}"; do
-    folder=Build-${kind//,/-}
+    folder=Build-$kind
     case $kind in
         thread) targets=(test_kernel test_operator_interface test_trace) ;;
-        *) targets=(test_base test_kernel test_packet test_membership test_routing test_coordination test_coordination_codec
+        address,undefined) folder=Build-fuzz targets=(test_base test_kernel test_packet test_membership test_routing test_coordination test_coordination_codec
             test_control_messages test_placement test_platform test_fleet test_forwarding test_configuration test_operator_interface test_trace) ;;
+        *)
+            echo "unknown sanitizer $kind" >&2
+            exit 64
+            ;;
     esac
-    cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" -DBILBERRYYARD_SANITIZE="$kind" \
-        >"$folder.configure.log" 2>&1 || { cat "$folder.configure.log"; exit 1; }
-    rm -f "$folder.configure.log"
-    mapfile -t known < <(cmake --build "$folder" --target help | awk -F: '/^test_/ { print $1 }')
-    selected=()
-    for target in "${targets[@]}"; do
-        [[ " ${known[*]} " == *" $target "* ]] && selected+=("$target")
-    done
-    echo "sanitizer $kind: ${selected[*]}"
-    cmake --build "$folder" --parallel "$JOBS" --target "${selected[@]}"
-    pattern=$(IFS='|'; echo "${selected[*]}")
-    ctest --test-dir "$folder" --output-on-failure --parallel "$JOBS" -R "^($pattern)\$" --timeout 600
+    echo "sanitizer $kind: ${targets[*]}"
+    if [ "$kind" = thread ]; then
+        cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" -DBILBERRYYARD_SANITIZE=thread \
+            >"$folder.configure.log" 2>&1 || { cat "$folder.configure.log"; exit 1; }
+        rm -f "$folder.configure.log"
+        cmake --build "$folder" --parallel "$JOBS" --target "${targets[@]}"
+    else
+        Meta/build-instrumented.sh "$folder" "${targets[@]}"
+    fi
+    pattern=$(IFS='|'; echo "${targets[*]}")
+    ctest --test-dir "$folder" --output-on-failure --parallel "$JOBS" -L "^($pattern)\$" --timeout 600
 done
