Fleet: Send a whole directory to a starting balancer once, and keep restored servers apart

Cause: when control hosts started, each sent all servers (300 KB at 3,000) to every balancer up to three times: pushed at the start, as changes of its own directory into which it had restored them, and as the answer to a greeting. A balancer asks one host for all servers now, the first that speaks; a directory that fits a datagram still goes along; what an earlier run knew is kept beside the own directory.

Tests that failed before: starting_control_host_sends_a_large_directory_once_asked, balancer_asks_the_first_control_host_for_all_servers.

--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -93,6 +93,7 @@
         hello.set_directory_epoch(message.directoryEpoch);
         hello.set_directory_revision(message.directoryRevision);
         hello.set_wants_hosts(message.hosts == host_list::Wanted);
+        hello.set_wants_all_servers(message.servers == server_scope::All);
     }
 
     void write(wire::FleetMessage& target, welcome_message const& message)
@@ -115,6 +116,7 @@
             write(*update.add_records(), record);
         for (auto const token : message.renewed)
             update.add_renewed(token);
+        update.set_all_servers(message.scope == server_scope::All);
     }
 
     void write(wire::FleetMessage& target, route_table const& message)
@@ -155,7 +157,8 @@
         if (!host.ok())
             return host.status();
         return hello_message { *std::move(host), source.configuration_version(), source.directory_epoch(),
-            source.directory_revision(), source.wants_hosts() ? host_list::Wanted : host_list::Unwanted };
+            source.directory_revision(), source.wants_hosts() ? host_list::Wanted : host_list::Unwanted,
+            source.wants_all_servers() ? server_scope::All : server_scope::Own };
     }
 
     absl::StatusOr<fleet_message> read(wire::Welcome const& source)
@@ -175,7 +178,8 @@
 
     absl::StatusOr<fleet_message> read(wire::DirectoryUpdate const& source)
     {
-        directory_update result { source.epoch(), source.from_revision(), source.to_revision(), {}, {} };
+        directory_update result { source.epoch(), source.from_revision(), source.to_revision(), {}, {},
+            source.all_servers() ? server_scope::All : server_scope::Own };
         for (auto const& record : source.records()) {
             auto announcement = read(record);
             if (!announcement.ok())
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -36,6 +36,14 @@
     Wanted,
 };
 
+/// Which servers a greeting asks a control host for, or an update of its directory holds.
+enum class server_scope : uint8_t {
+    /// Those that announce themselves at the control host.
+    Own,
+    /// Those of other control hosts as well; for a balancer that knows no server yet.
+    All,
+};
+
 /// Every daemon says this to each control host that it knows, at an interval.
 struct hello_message {
     fleet_host host;
@@ -44,6 +52,7 @@
     uint64_t directoryEpoch = 0;
     uint64_t directoryRevision = 0;
     host_list hosts = host_list::Unwanted;
+    server_scope servers = server_scope::Own;
     auto operator<=>(hello_message const&) const = default;
 };
 
@@ -75,6 +84,8 @@
     std::vector<aged_announcement> records;
     /// Flow tokens of servers that were heard again.
     std::vector<uint32_t> renewed;
+    /// Whose servers the records are.
+    server_scope scope = server_scope::Own;
     auto operator<=>(directory_update const&) const = default;
 };
 
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -11,6 +11,8 @@
     constexpr duration greetInterval = std::chrono::milliseconds(700);
     // A balancer that cannot serve yet asks more often.
     constexpr duration startInterval = std::chrono::milliseconds(150);
+    // Time in which a control host sends 300 KB to some hundred balancers that started together.
+    constexpr duration serversInterval = std::chrono::milliseconds(300);
     // Three greetings without an answer.
     constexpr duration silenceLimit = std::chrono::milliseconds(2'200);
     constexpr duration hostLimit = std::chrono::seconds(60);
@@ -62,12 +64,15 @@
     link.isDirectoryRestored = message.isDirectoryRestored;
     // Every server announces itself once in this time, and a second time should the first call have failed.
     link.completeAt = now - message.uptime + 2 * m_settings.announcementInterval;
+    // A control host that has just started speaks first.
+    askForServers(sender, now);
 }
 
 void balancer_control::handle(ip_endpoint const& sender, directory_update const& message, monotonic_time now)
 {
     auto& link = m_links[sender];
     link.heardAt = now;
+    link.hasAllServers = link.hasAllServers || message.scope == server_scope::All;
     auto const changes = m_view.apply(sender, message, now);
     for (auto const& [token, heardAt] : changes.renewed)
         m_router.pool().renew(token, heardAt);
@@ -111,19 +116,33 @@
 void balancer_control::greet(monotonic_time now)
 {
     m_greetedAt = now;
-    fleet_host const self { { m_settings.address, m_settings.peerPort }, host_role::Balancer, m_settings.zone,
-        m_settings.name, 0, {} };
     m_listTurn.beginRound(m_links.size());
     for (auto const& [peer, link] : m_links) {
-        auto const held = m_view.positionOf(peer);
         auto const turn = m_listTurn.next();
         // A balancer that cannot serve yet needs every control host that it can find.
-        m_channel.send(peer,
-            hello_message {
-                self, m_router.version(), held.epoch, held.revision, isReady() ? turn : host_list::Wanted });
+        auto const hosts = isReady() ? turn : host_list::Wanted;
+        // Whole directories are large, and those of all control hosts say the same.
+        bool const asksForAll = !m_hasDirectory && turn == host_list::Wanted;
+        greet(peer, hosts, asksForAll ? server_scope::All : server_scope::Own);
     }
 }
 
+void balancer_control::greet(ip_endpoint const& peer, host_list hosts, server_scope servers)
+{
+    fleet_host const self { { m_settings.address, m_settings.peerPort }, host_role::Balancer, m_settings.zone,
+        m_settings.name, 0, {} };
+    auto const held = m_view.positionOf(peer);
+    m_channel.send(peer, hello_message { self, m_router.version(), held.epoch, held.revision, hosts, servers });
+}
+
+void balancer_control::askForServers(ip_endpoint const& peer, monotonic_time now)
+{
+    if (m_hasDirectory || m_links[peer].hasAllServers || now - m_askedForServersAt < serversInterval)
+        return;
+    m_askedForServersAt = now;
+    greet(peer, host_list::Unwanted, server_scope::All);
+}
+
 size_t balancer_control::freshControls(monotonic_time now) const
 {
     return static_cast<size_t>(std::count_if(m_links.begin(), m_links.end(), [&](auto const& item) {
@@ -167,7 +186,8 @@
         if (!isHeard || m_view.positionOf(peer).epoch == 0)
             continue;
         isComplete = isComplete || now >= link.completeAt;
-        m_hasDirectory = m_hasDirectory || isComplete || link.isDirectoryRestored;
+        bool const isUsable = now >= link.completeAt || link.isDirectoryRestored;
+        m_hasDirectory = m_hasDirectory || (isUsable && link.hasAllServers);
     }
     m_router.pool().setDirectoryHealth(isComplete ? directory_health::Fresh : directory_health::Stale);
 }
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -48,6 +48,8 @@
         /// When the control host had listened long enough to have heard every server.
         monotonic_time completeAt = monotonic_time::max();
         bool isDirectoryRestored = false;
+        /// The servers of other control hosts came along with its own.
+        bool hasAllServers = false;
         std::string name;
         bool isSilent = false;
     };
@@ -59,6 +61,9 @@
     void handle(ip_endpoint const&, control_envelope const&, monotonic_time) { }
     void handle(ip_endpoint const&, join_request const&, monotonic_time) { }
     void greet(monotonic_time now);
+    void greet(ip_endpoint const& peer, host_list hosts, server_scope servers);
+    /// Asks a control host that is there for all servers, if none is known yet.
+    void askForServers(ip_endpoint const& peer, monotonic_time now);
     void takeOver(std::string const& id, monotonic_time now);
     void noteSilence(monotonic_time now);
 
@@ -73,6 +78,7 @@
     bool m_hasDirectory = false;
     monotonic_time m_startedAt;
     monotonic_time m_greetedAt;
+    monotonic_time m_askedForServersAt;
 };
 
 } // namespace bilberryyard
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -31,6 +31,8 @@
     // A host that starts greets every 150 ms; what was sent to it before is on its way. With 3,000 servers a directory
     // has 270 KB, and hundreds of hosts may start at once.
     constexpr duration wholeDirectoryInterval = std::chrono::milliseconds(500);
+    // An encoded directory serves many hosts that start together; the ages in it are off by this much.
+    constexpr duration encodedServersAge = std::chrono::milliseconds(100);
     // Balancers greet every 700 ms; one that has been silent for longer is not written to.
     constexpr duration subscriberLimit = std::chrono::seconds(8);
     constexpr duration hostLimit = std::chrono::seconds(60);
@@ -253,12 +255,14 @@
         return;
     if (update->fromRevision > 0)
         return m_channel.send(receiver, *update);
-    auto& sentAt = m_wholeSentAt[receiver];
+    auto& sentAt = m_wholeSentAt[{ receiver, message.servers }];
     if (now - sentAt < wholeDirectoryInterval)
         return;
     sentAt = now;
-    bool const isStart = message.directoryEpoch == 0 && message.host.role == host_role::Balancer;
-    m_channel.send(receiver, isStart ? allServers(now) : *update);
+    if (message.servers == server_scope::All)
+        m_channel.sendEncoded(receiver, encodedServers(now));
+    else
+        m_channel.send(receiver, *update);
 }
 
 welcome_message control_service::makeWelcome(host_role receiver, monotonic_time now) const
@@ -291,23 +295,37 @@
 directory_update control_service::allServers(monotonic_time now) const
 {
     auto update = m_feed.everything(now);
+    update.scope = server_scope::All;
     for (auto const& [id, entry] : m_others.directory().entries())
         update.records.push_back({ entry.announcement, now - entry.heardAt });
     return update;
 }
 
+std::string const& control_service::encodedServers(monotonic_time now)
+{
+    if (m_encodedServers.empty() || now - m_serversEncodedAt >= encodedServersAge) {
+        m_encodedServers = encodeFleetMessage(allServers(now));
+        m_serversEncodedAt = now;
+    }
+    return m_encodedServers;
+}
+
 void control_service::greetBalancers(monotonic_time now)
 {
     auto const balancers = m_hosts.list(host_role::Balancer, now, hostLimit);
     if (balancers.empty() || m_encodedRoutes.empty())
         return;
     auto const welcome = encodeFleetMessage(makeWelcome(host_role::Balancer, now));
-    auto const servers = encodeFleetMessage(allServers(now));
+    auto const& servers = encodedServers(now);
+    // All control hosts may start together. A large directory is asked for, and sent by one of them.
+    bool const isSmall = servers.size() <= maximumDatagramBytes;
     for (auto const& host : balancers) {
         m_channel.sendEncoded(host.peer, m_encodedRoutes);
-        m_channel.sendEncoded(host.peer, servers);
+        if (isSmall) {
+            m_channel.sendEncoded(host.peer, servers);
+            m_wholeSentAt[{ host.peer, server_scope::All }] = now;
+        }
         m_channel.sendEncoded(host.peer, welcome);
-        m_wholeSentAt[host.peer] = now;
     }
 }
 
@@ -423,14 +441,22 @@
     if (auto const bytes = m_group.loadFile(serversName)) {
         auto const message = decodeFleetMessage(*bytes);
         if (message.ok() && std::holds_alternative<directory_update>(*message)) {
-            m_feed.restore(std::get<directory_update>(*message).records, now);
-            m_isRestored = true;
+            restoreServers(std::get<directory_update>(*message), now);
         } else {
             m_logger.emit(events::savedConfigurationDamaged, serversName);
         }
     }
 }
 
+void control_service::restoreServers(directory_update update, monotonic_time now)
+{
+    // Whatever a server says itself goes before it.
+    for (auto& record : update.records)
+        record.age = backend_directory_settings().silence;
+    m_others.apply(self().peer, update, now);
+    m_isRestored = true;
+}
+
 void control_service::saveLastKnown(monotonic_time now)
 {
     welcome_message hosts;
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace bilberryyard {
 
@@ -80,8 +81,10 @@
     void refreshRoutes(monotonic_time now);
     void readSeeds();
     void restoreLastKnown(monotonic_time now);
+    void restoreServers(directory_update update, monotonic_time now);
     void greetBalancers(monotonic_time now);
     directory_update allServers(monotonic_time now) const;
+    std::string const& encodedServers(monotonic_time now);
     void sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now);
     /// @return An answer that lists all hosts that the receiver has to know.
     welcome_message makeWelcome(host_role receiver, monotonic_time now) const;
@@ -104,11 +107,14 @@
     known_hosts m_hosts;
     host_list_turn m_listTurn;
     directory_feed m_feed;
-    /// What other control hosts hear. Balancers hear it from those; it serves a balancer that starts while they are
-    /// away.
+    /// What other control hosts hear, and what an earlier run of this one knew. Balancers hear it from those; it serves
+    /// a balancer that starts while they are away.
     directory_view m_others;
     /// When a host was last sent a whole directory.
-    std::map<ip_endpoint, monotonic_time> m_wholeSentAt;
+    std::map<std::pair<ip_endpoint, server_scope>, monotonic_time> m_wholeSentAt;
+    /// The servers of all control hosts as they were lately.
+    std::string m_encodedServers;
+    monotonic_time m_serversEncodedAt;
     consensus_group m_group;
 
     uint64_t m_routesVersion = 0;
--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -5,8 +5,7 @@
 namespace bilberryyard {
 
 directory_feed::directory_feed(backend_directory_settings const& settings, uint64_t epoch)
-    : m_settings(settings)
-    , m_directory(settings)
+    : m_directory(settings)
     , m_epoch(epoch)
 {
 }
@@ -42,7 +41,7 @@
     if (m_directory.revision() == m_sentRevision && m_renewed.empty())
         return std::nullopt;
     directory_update update { m_epoch, m_sentRevision, m_directory.revision(), recordsAfter(m_sentRevision, now),
-        { m_renewed.begin(), m_renewed.end() } };
+        { m_renewed.begin(), m_renewed.end() }, server_scope::Own };
     m_sentRevision = m_directory.revision();
     m_renewed.clear();
     return update;
@@ -54,20 +53,13 @@
     auto const held = epoch == m_epoch ? revision : 0;
     if (epoch == m_epoch && held >= m_sentRevision)
         return std::nullopt;
-    return directory_update { m_epoch, held, m_directory.revision(), recordsAfter(held, now), {} };
-}
-
-void directory_feed::restore(std::vector<aged_announcement> const& records, monotonic_time now)
-{
-    std::lock_guard const lock(m_mutex);
-    for (auto const& record : records)
-        m_directory.apply(record.announcement, now - m_settings.silence, now);
+    return directory_update { m_epoch, held, m_directory.revision(), recordsAfter(held, now), {}, server_scope::Own };
 }
 
 directory_update directory_feed::everything(monotonic_time now) const
 {
     std::lock_guard const lock(m_mutex);
-    return { m_epoch, 0, m_directory.revision(), recordsAfter(0, now), {} };
+    return { m_epoch, 0, m_directory.revision(), recordsAfter(0, now), {}, server_scope::Own };
 }
 
 uint64_t directory_feed::revision() const
--- a/Services/Fleet/directory_feed.h
+++ b/Services/Fleet/directory_feed.h
@@ -35,13 +35,8 @@
     /// @return What it lacks of what was sent before; nothing when it lacks nothing.
     std::optional<directory_update> missing(uint64_t epoch, uint64_t revision, monotonic_time now) const;
 
-    /// Takes over what an earlier run of the process knew. Whatever a server says itself goes before it.
-    /// @param records Servers as they were.
     /// @param now The time.
-    void restore(std::vector<aged_announcement> const& records, monotonic_time now);
-
-    /// @param now The time.
-    /// @return All servers, for restore().
+    /// @return All servers of this control host.
     directory_update everything(monotonic_time now) const;
     /// @return Rises with each change other than a renewal.
     uint64_t revision() const;
@@ -53,7 +48,6 @@
     std::vector<aged_announcement> recordsAfter(uint64_t revision, monotonic_time now) const;
 
     mutable std::mutex m_mutex;
-    backend_directory_settings m_settings;
     backend_directory m_directory;
     uint64_t m_epoch;
     uint64_t m_sentRevision = 0;
--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -3,6 +3,8 @@
 #include <Fleet/balancer_control.h>
 #include <Fleet/control_service.h>
 #include <atomic>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <map>
@@ -204,13 +206,14 @@
     auto channel = peer_channel::create({ addressOf(9), 27'921 }).value();
     fleet_host const balancer { { addressOf(9), 27'921 }, host_role::Balancer, "a", "host-9", 0, {} };
     // The first greeting makes the balancer known; changes are sent to it from then on.
-    channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 1, 0, host_list::Unwanted });
+    channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 1, 0, host_list::Unwanted, server_scope::Own });
     std::this_thread::sleep_for(std::chrono::milliseconds(700));
     bool isEmpty = false;
     while (!isEmpty)
         channel.receive(bootTime(), isEmpty);
     for (int count = 0; count < 20; ++count)
-        channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 0, 0, 0, host_list::Unwanted });
+        channel.send(
+            { addressOf(1), 27'921 }, hello_message { balancer, 0, 0, 0, host_list::Unwanted, server_scope::Own });
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     int directories = 0;
     for (isEmpty = false; !isEmpty;) {
@@ -229,9 +232,9 @@
     fleet_host const other { { addressOf(8), 27'921 }, host_role::Control, "a", "host-8", 27'922, {} };
     fleet_host const self { { addressOf(9), 27'921 }, host_role::Control, "a", "host-9", 27'922, {} };
     std::map<host_list, size_t> listed;
-    channel.send({ addressOf(1), 27'921 }, hello_message { other, 0, 0, 0, host_list::Unwanted });
+    channel.send({ addressOf(1), 27'921 }, hello_message { other, 0, 0, 0, host_list::Unwanted, server_scope::Own });
     for (auto const hosts : { host_list::Unwanted, host_list::Wanted }) {
-        channel.send({ addressOf(1), 27'921 }, hello_message { self, 0, 0, 0, hosts });
+        channel.send({ addressOf(1), 27'921 }, hello_message { self, 0, 0, 0, hosts, server_scope::Own });
         std::this_thread::sleep_for(std::chrono::milliseconds(300));
         for (bool isEmpty = false; !isEmpty;) {
             auto const message = channel.receive(bootTime(), isEmpty);
@@ -244,6 +247,79 @@
     BOOST_TEST(listed[host_list::Wanted] == 3u);
 }
 
+struct start_row {
+    char const* name;
+    int servers;
+    /// Whole directories that a balancer gets without asking.
+    int pushed;
+};
+std::ostream& operator<<(std::ostream& stream, start_row const& row) { return stream << row.name; }
+
+start_row const startRows[] = {
+    { "a small directory goes along", 1, 1 },
+    { "a large directory is asked for", 300, 0 },
+};
+
+// Start of all control hosts at once: hundreds of balancers need one copy of what is known, not one from each.
+BOOST_DATA_TEST_CASE_F(control_fixture, starting_control_host_sends_a_large_directory_once_asked, startRows, row)
+{
+    fleet_host const balancer { { addressOf(9), 27'921 }, host_role::Balancer, "a", "host-9", 0, {} };
+    auto const settings = settingsOf(1, { 1 });
+    {
+        running const host(settings, metrics);
+        BOOST_REQUIRE(storeWithin(*host.service, 5, std::chrono::seconds(8)).status.ok());
+        for (int number = 1; number <= row.servers; ++number) {
+            backend_announcement announcement;
+            announcement.id = "i-" + std::to_string(number);
+            announcement.service = "orders";
+            announcement.address = { ip_address::fromIpv4(0x0a000000U + static_cast<uint32_t>(number)), 80 };
+            host.service->announce(announcement);
+        }
+        auto channel = peer_channel::create(balancer.peer).value();
+        hello_message const greeting { balancer, 0, 1, 0, host_list::Unwanted, server_scope::Own };
+        channel.send({ addressOf(1), 27'921 }, greeting);
+        std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    }
+    auto channel = peer_channel::create(balancer.peer).value();
+    auto const countDirectories = [&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        int count = 0;
+        for (bool isEmpty = false; !isEmpty;) {
+            auto const message = channel.receive(bootTime(), isEmpty);
+            auto const* const update = message ? std::get_if<directory_update>(&message->message) : nullptr;
+            count += update && update->records.size() == static_cast<size_t>(row.servers) ? 1 : 0;
+        }
+        return count;
+    };
+    running const again(settings, metrics);
+    BOOST_TEST(countDirectories() == row.pushed);
+    channel.send({ addressOf(1), 27'921 }, hello_message { balancer, 5, 0, 0, host_list::Unwanted, server_scope::All });
+    BOOST_TEST(countDirectories() == 1 - row.pushed);
+}
+
+// Restart of everything: a balancer asks the first control host that speaks, and no other within 300 ms.
+BOOST_FIXTURE_TEST_CASE(balancer_asks_the_first_control_host_for_all_servers, control_fixture)
+{
+    balancer_probe probe(settingsOf(9, {}, host_role::Balancer));
+    std::vector<peer_channel> controls;
+    std::vector<server_scope> asked;
+    welcome_message const welcome;
+    for (int number = 1; number <= 3; ++number)
+        controls.push_back(peer_channel::create({ addressOf(number), 27'921 }).value());
+    for (int number = 1; number <= 3; ++number)
+        probe.control.receive({ addressOf(number), 27'921 }, welcome, bootTime());
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    for (auto& control : controls) {
+        for (bool isEmpty = false; !isEmpty;) {
+            auto const message = control.receive(bootTime(), isEmpty);
+            auto const* const hello = message ? std::get_if<hello_message>(&message->message) : nullptr;
+            if (hello)
+                asked.push_back(hello->servers);
+        }
+    }
+    BOOST_CHECK((asked == std::vector { server_scope::All }));
+}
+
 // Guards against a host that lost its disk and is never taken back.
 BOOST_FIXTURE_TEST_CASE(host_with_an_empty_disk_joins_again, control_fixture)
 {
--- a/Tests/Fleet/test_directory.cpp
+++ b/Tests/Fleet/test_directory.cpp
@@ -82,20 +82,25 @@
 // Guards against restored knowledge that outweighs what a server says itself.
 BOOST_AUTO_TEST_CASE(restored_server_gives_way_to_its_own_word)
 {
-    directory_feed feed({}, 5);
-    feed.restore({ { announcementOf("i-1", 900), {} } }, at(0));
-    BOOST_CHECK(
-        feed.announce(announcementOf("i-1", 3, backend_state::Draining), at(10)) == announcement_effect::Changed);
+    directory_view view;
+    auto const age = backend_directory_settings().silence;
+    view.apply(control, { 5, 0, 1, { { announcementOf("i-1", 900), age } }, {}, server_scope::All }, at(0));
+    directory_feed feed({}, 6);
+    feed.announce(announcementOf("i-1", 3, backend_state::Draining), at(10));
+    auto const changes = view.apply(otherControl, *feed.takeChanges(at(10)), at(10));
+    BOOST_CHECK(changes.changed == std::vector<std::string> { "i-1" });
+    BOOST_CHECK(view.directory().find("i-1")->announcement.state == backend_state::Draining);
 }
 
 // Guards against a late record of one control host that undoes what another has heard.
 BOOST_AUTO_TEST_CASE(later_word_of_another_control_host_counts)
 {
     directory_view view;
-    view.apply(control, { 5, 0, 1, { { announcementOf("i-1", 5), {} } }, {} }, at(0));
-    view.apply(otherControl, { 8, 0, 1, { { announcementOf("i-1", 6, backend_state::Draining), {} } }, {} }, at(100));
-    auto const changes
-        = view.apply(control, { 5, 0, 1, { { announcementOf("i-1", 5), std::chrono::seconds(1) } }, {} }, at(1'000));
+    view.apply(control, { 5, 0, 1, { { announcementOf("i-1", 5), {} } }, {}, server_scope::Own }, at(0));
+    view.apply(otherControl,
+        { 8, 0, 1, { { announcementOf("i-1", 6, backend_state::Draining), {} } }, {}, server_scope::Own }, at(100));
+    auto const changes = view.apply(control,
+        { 5, 0, 1, { { announcementOf("i-1", 5), std::chrono::seconds(1) } }, {}, server_scope::Own }, at(1'000));
     BOOST_TEST(changes.changed.empty());
     BOOST_CHECK(view.directory().find("i-1")->announcement.state == backend_state::Draining);
 }
--- a/Tests/Fleet/test_fleet_codec.cpp
+++ b/Tests/Fleet/test_fleet_codec.cpp
@@ -38,8 +38,9 @@
 std::ostream& operator<<(std::ostream& stream, message_row const& row) { return stream << row.name; }
 
 message_row const messageRows[] = {
-    { "greeting", hello_message { host, 7, 99, 12 } },
-    { "greeting that asks for hosts", hello_message { host, 7, 99, 12, host_list::Wanted } },
+    { "greeting", hello_message { host, 7, 99, 12, host_list::Unwanted, server_scope::Own } },
+    { "greeting that asks for hosts and servers",
+        hello_message { host, 7, 99, 12, host_list::Wanted, server_scope::All } },
     { "answer to a greeting", welcome_message { { host, host }, 7, milliseconds(9'000), true } },
     { "directory", directory_update { 99, 3, 12, { sampleRecord() }, { 1, 0xffffffff } } },
     { "routes", sampleRoutes() },
