Fleet: Push directories of up to 64 KB at the start; answer balancers before the log is opened

Cause: with 150 servers the directory no longer fitted a datagram, so balancers asked for it, and a control host on 0.15 of a core answered only after it had opened its log (200 ms). Sockets between hosts ask for 1 MB, for a directory of 4,000 servers overflowed the default on loopback.

--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -31,6 +31,11 @@
     // A host that starts greets every 150 ms; what was sent to it before is on its way. With 3,000 servers a directory
     // has 270 KB, and hundreds of hosts may start at once.
     constexpr duration wholeDirectoryInterval = std::chrono::milliseconds(500);
+    // A directory of about 600 servers goes to all known balancers without being asked for; control hosts that start
+    // together then send a few megabytes each.
+    constexpr size_t pushedServersBytes = size_t { 64 } * 1024;
+    // Time for answering balancers before the log is opened, which takes some 200 ms on a small host.
+    constexpr duration greetingTime = std::chrono::milliseconds(150);
     // An encoded directory serves many hosts that start together; the ages in it are off by this much.
     constexpr duration encodedServersAge = std::chrono::milliseconds(100);
     // Balancers greet every 700 ms; one that has been silent for longer is not written to.
@@ -163,7 +168,12 @@
 void control_service::run(std::function<bool()> const& isStopping)
 {
     restoreLastKnown(bootTime());
-    greetBalancers(bootTime());
+    if (greetBalancers(bootTime()) == server_push::Left) {
+        for (auto const limit = bootTime() + greetingTime; bootTime() < limit && !isStopping();) {
+            wait(bootTime());
+            receive();
+        }
+    }
     m_group.start(bootTime());
     while (!isStopping())
         step();
@@ -310,15 +320,15 @@
     return m_encodedServers;
 }
 
-void control_service::greetBalancers(monotonic_time now)
+control_service::server_push control_service::greetBalancers(monotonic_time now)
 {
     auto const balancers = m_hosts.list(host_role::Balancer, now, hostLimit);
     if (balancers.empty() || m_encodedRoutes.empty())
-        return;
+        return server_push::Done;
     auto const welcome = encodeFleetMessage(makeWelcome(host_role::Balancer, now));
     auto const& servers = encodedServers(now);
     // All control hosts may start together. A large directory is asked for, and sent by one of them.
-    bool const isSmall = servers.size() <= maximumDatagramBytes;
+    bool const isSmall = servers.size() <= pushedServersBytes;
     for (auto const& host : balancers) {
         m_channel.sendEncoded(host.peer, m_encodedRoutes);
         if (isSmall) {
@@ -327,6 +337,7 @@
         }
         m_channel.sendEncoded(host.peer, welcome);
     }
+    return isSmall ? server_push::Done : server_push::Left;
 }
 
 void control_service::handle(ip_endpoint const& sender, welcome_message const& message, monotonic_time now)
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -82,7 +82,13 @@
     void readSeeds();
     void restoreLastKnown(monotonic_time now);
     void restoreServers(directory_update update, monotonic_time now);
-    void greetBalancers(monotonic_time now);
+    enum class server_push : uint8_t {
+        Done,
+        /// Balancers ask for the servers themselves.
+        Left,
+    };
+    /// Tells all balancers known from an earlier run what it left.
+    server_push greetBalancers(monotonic_time now);
     directory_update allServers(monotonic_time now) const;
     std::string const& encodedServers(monotonic_time now);
     void sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now);
--- a/Services/Fleet/peer_channel.cpp
+++ b/Services/Fleet/peer_channel.cpp
@@ -5,9 +5,16 @@
 
 namespace bilberryyard {
 
+namespace {
+
+    // A directory of 3,000 servers arrives in 40 datagrams at once; as much as the kernel allows is granted.
+    constexpr int receiveBufferBytes = 1 << 20;
+
+} // namespace
+
 absl::StatusOr<peer_channel> peer_channel::create(ip_endpoint const& address)
 {
-    auto socket = datagram_socket::create(address);
+    auto socket = datagram_socket::create(address, receiveBufferBytes);
     if (!socket.ok())
         return socket.status();
     return peer_channel(*std::move(socket));
