--- a/Utilities/Benchmarks/Mapping/main.cpp
+++ b/Utilities/Benchmarks/Mapping/main.cpp
@@ -87,6 +87,10 @@
         static_cast<unsigned long long>(result.wrongServiceFlows), result.imbalance,
         static_cast<double>(result.relays) / static_cast<double>(result.packets),
         static_cast<unsigned long long>(result.stalledFlows), static_cast<unsigned long long>(result.resentSyns));
+    std::printf("  %-24s %.2f million decisions/s   %.1f bytes a flow   %.0f kB of tables   %llu copied flows\n", "",
+        static_cast<double>(result.timedDecisions) / result.decisionSeconds / 1e6,
+        static_cast<double>(result.flowBytes) / mapping_trace().openFlows, static_cast<double>(result.tableBytes) / 1e3,
+        static_cast<unsigned long long>(result.copiedFlows));
 }
 
 bool check(char const* scenarioName, char const* what, double value, double target)
--- a/Utilities/Benchmarks/Mapping/mapping_network.h
+++ b/Utilities/Benchmarks/Mapping/mapping_network.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "scripted_planner.h"
+#include <CoordinationCodec/table_codec.h>
 #include <Routing/flow_explanation.h>
 #include <Routing/forwarding_action.h>
 #include <algorithm>
+#include <allocation_counter.h>
 #include <chrono>
 #include <map>
 #include <memory>
+#include <processor_time.h>
 #include <random>
 #include <vector>
 
@@ -32,6 +35,15 @@
     /// Flows of which a segment at the end reached no server.
     uint64_t stalledFlows = 0;
     double imbalance = 0;
+    /// Decisions whose time was measured, and the time in seconds.
+    uint64_t timedDecisions = 0;
+    double decisionSeconds = 0;
+    /// Bytes that all routers hold for the flows that they have seen.
+    int64_t flowBytes = 0;
+    /// Encoded changes of tables that were sent to all hosts, for the mapping that uses them, and flow entries copied
+    /// between hosts.
+    uint64_t tableBytes = 0;
+    uint64_t copiedFlows = 0;
 };
 
 /// Runs one router on the seeded trace: every packet goes to a random balancer of those that the fabric uses, and
@@ -195,7 +207,7 @@
         packet_origin origin;
         auto host = m_fabric[m_random() % m_fabric.size()];
         while (auto* router = m_hosts[host.value].router.get()) {
-            auto const action = router->route(packet, origin, m_now);
+            auto const action = decide(*router, packet, origin);
             auto const* relay = std::get_if<relay_to_host>(&action);
             if (!relay)
                 return arrive(flow, kind, action);
@@ -205,6 +217,30 @@
         }
     }
 
+    forwarding_action decide(Router& router, parsed_packet const& packet, packet_origin const& origin)
+    {
+        // Reading the processor's time takes longer than a decision, so one in sixteen is repeated a few times.
+        constexpr uint64_t sampleEvery = 16;
+        auto const before = static_cast<int64_t>(allocation_counter::heldBytes());
+        auto const action = router.route(packet, origin, m_now);
+        m_result.flowBytes += static_cast<int64_t>(allocation_counter::heldBytes()) - before;
+        if (m_result.packets % sampleEvery == 0 && packet.kind == packet_kind::TcpSegment)
+            timeDecisions(router, packet, origin);
+        return action;
+    }
+
+    void timeDecisions(Router& router, parsed_packet const& packet, packet_origin const& origin)
+    {
+        constexpr uint64_t repetitions = 8;
+        auto const before = static_cast<int64_t>(allocation_counter::heldBytes());
+        auto const startedAt = processorSeconds();
+        for (uint64_t count = 0; count < repetitions; ++count)
+            router.route(packet, origin, m_now);
+        m_result.decisionSeconds += processorSeconds() - startedAt;
+        m_result.timedDecisions += repetitions;
+        m_result.flowBytes += static_cast<int64_t>(allocation_counter::heldBytes()) - before;
+    }
+
     void arrive(open_flow& flow, packet_kind kind, forwarding_action const& action)
     {
         auto const* forward = std::get_if<forward_to_server>(&action);
@@ -258,9 +294,13 @@
             });
         };
         bool const changed = m_planner.step(allHave, [this](auto const& order) { return transfer(order); });
+        auto const deltas = m_planner.takeDeltas();
         if (changed)
             publish();
+        // The other mappings need no tables, only the list of servers.
         if constexpr (requires(Router router) { router.expire(monotonic_time {}, 1); }) {
+            for (auto const& delta : deltas)
+                m_result.tableBytes += encodeDelta(delta).ByteSizeLong() * m_planner.hosts().size();
             for (auto& host : m_hosts) {
                 if (host.router)
                     host.router->expire(m_now, 1'000);
@@ -281,6 +321,7 @@
                 auto const batch = from->exportFlows(order.service, std::span(&order.bucket, 1), cursor, 100);
                 if (!to->importFlows(order.service, batch.flows, m_now).ok())
                     return false;
+                m_result.copiedFlows += batch.flows.size();
                 cursor = batch.next;
                 done = batch.done;
             }
--- a/Utilities/Benchmarks/Mapping/scripted_planner.cpp
+++ b/Utilities/Benchmarks/Mapping/scripted_planner.cpp
@@ -96,6 +96,7 @@
         if (delta.changes.empty())
             continue;
         table = table.withDelta(delta);
+        m_deltas.push_back(std::move(delta));
         changed = true;
     }
     return changed;
--- a/Utilities/Benchmarks/Mapping/scripted_planner.h
+++ b/Utilities/Benchmarks/Mapping/scripted_planner.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace bilberryyard {
@@ -48,6 +49,9 @@
     /// @return The view to publish to it now.
     routing_view viewOf(host_id self) const;
 
+    /// @return The changes of tables since the last call.
+    std::vector<table_delta> takeDeltas() { return std::exchange(m_deltas, {}); }
+
     std::map<host_id, uint32_t> const& hosts() const { return m_hosts; }
     /// @param service A service.
     /// @return Its servers that take new flows.
@@ -76,6 +80,7 @@
     std::map<server_id, routed_server> m_conditions;
     std::map<service_id, bucket_table> m_tables;
     std::map<service_id, service_plan> m_plans;
+    std::vector<table_delta> m_deltas;
 };
 
 /// @param service A service of the benchmark.
--- a/Utilities/Benchmarks/Slopes/log_simulation.cpp
+++ b/Utilities/Benchmarks/Slopes/log_simulation.cpp
@@ -1,7 +1,7 @@
 #include "log_simulation.h"
 
-#include "processor_time.h"
 #include <Base/error_kind.h>
+#include <processor_time.h>
 
 namespace bilberryyard {
 
--- a/Utilities/Benchmarks/Slopes/measure_control.cpp
+++ b/Utilities/Benchmarks/Slopes/measure_control.cpp
@@ -1,9 +1,9 @@
-#include "allocation_counter.h"
 #include "log_simulation.h"
 #include "measurements.h"
-#include "processor_time.h"
 #include "sample_configuration.h"
 #include "slope_table.h"
+#include <allocation_counter.h>
+#include <processor_time.h>
 
 #include <Configuration/configuration_reader.h>
 #include <Configuration/configuration_writer.h>
--- a/Utilities/Benchmarks/Slopes/measure_forwarding.cpp
+++ b/Utilities/Benchmarks/Slopes/measure_forwarding.cpp
@@ -1,8 +1,8 @@
 #include "measurements.h"
 #include "memory_packet_io.h"
-#include "processor_time.h"
 #include "sample_view.h"
 #include "slope_table.h"
+#include <processor_time.h>
 
 #include <Base/error_kind.h>
 #include <Forwarding/packet_processor.h>
--- a/Utilities/Benchmarks/Slopes/measure_routing.cpp
+++ b/Utilities/Benchmarks/Slopes/measure_routing.cpp
@@ -1,8 +1,8 @@
-#include "allocation_counter.h"
 #include "measurements.h"
-#include "processor_time.h"
 #include "sample_view.h"
 #include "slope_table.h"
+#include <allocation_counter.h>
+#include <processor_time.h>
 
 #include <Routing/flow_router.h>
 #include <algorithm>
--- a/Utilities/Benchmarks/Slopes/pool_simulation.cpp
+++ b/Utilities/Benchmarks/Slopes/pool_simulation.cpp
@@ -1,7 +1,7 @@
 #include "pool_simulation.h"
 
-#include "allocation_counter.h"
-#include "processor_time.h"
+#include <allocation_counter.h>
+#include <processor_time.h>
 
 namespace bilberryyard {
 
