Fleet: Send all servers to a balancer that has those of one host already

Cause: a greeting that asked for all servers was answered only if the balancer lacked the receiver's own. A balancer whose first control host was away got the own servers of the others, asked them for all, and waited for ever.

--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -170,6 +170,9 @@
     restoreLastKnown(bootTime());
     if (greetBalancers(bootTime()) == server_push::Left) {
         for (auto const limit = bootTime() + greetingTime; bootTime() < limit && !isStopping();) {
+            publishDirectory(bootTime());
+            if (bootTime() - m_greetedAt >= greetInterval)
+                greetPeers(bootTime());
             wait(bootTime());
             receive();
         }
@@ -260,16 +263,17 @@
 
 void control_service::sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now)
 {
+    bool const wantsAll = message.servers == server_scope::All;
     auto const update = m_feed.missing(message.directoryEpoch, message.directoryRevision, now);
-    if (!update)
+    if (!wantsAll && !update)
         return;
-    if (update->fromRevision > 0)
+    if (!wantsAll && update->fromRevision > 0)
         return m_channel.send(receiver, *update);
     auto& sentAt = m_wholeSentAt[{ receiver, message.servers }];
     if (now - sentAt < wholeDirectoryInterval)
         return;
     sentAt = now;
-    if (message.servers == server_scope::All)
+    if (wantsAll)
         m_channel.sendEncoded(receiver, encodedServers(now));
     else
         m_channel.send(receiver, *update);
--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -297,6 +297,38 @@
     BOOST_TEST(countDirectories() == 1 - row.pushed);
 }
 
+// Guards against a balancer that waits for ever because the control host that it asked first is away: another one has
+// sent its own servers by then, and still has to send all.
+BOOST_FIXTURE_TEST_CASE(all_servers_are_sent_to_a_balancer_that_has_those_of_one_host, control_fixture)
+{
+    running const host(settingsOf(1, { 1 }), metrics);
+    backend_announcement announcement;
+    announcement.id = "i-1";
+    announcement.service = "orders";
+    announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
+    host.service->announce(announcement);
+    auto channel = peer_channel::create({ addressOf(9), 27'921 }).value();
+    fleet_host const balancer { { addressOf(9), 27'921 }, host_role::Balancer, "a", "host-9", 0, {} };
+    directory_view view;
+    std::map<server_scope, int> received;
+    for (auto const scope : { server_scope::Own, server_scope::All }) {
+        auto const held = view.positionOf({ addressOf(1), 27'921 });
+        channel.send({ addressOf(1), 27'921 },
+            hello_message { balancer, 0, held.epoch, held.revision, host_list::Unwanted, scope });
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+        for (bool isEmpty = false; !isEmpty;) {
+            auto const message = channel.receive(bootTime(), isEmpty);
+            auto const* const update = message ? std::get_if<directory_update>(&message->message) : nullptr;
+            if (!update)
+                continue;
+            view.apply(message->sender, *update, bootTime());
+            ++received[update->scope];
+        }
+    }
+    BOOST_TEST(received[server_scope::Own] >= 1);
+    BOOST_TEST(received[server_scope::All] == 1);
+}
+
 // Restart of everything: a balancer asks the first control host that speaks, and no other within 300 ms.
 BOOST_FIXTURE_TEST_CASE(balancer_asks_the_first_control_host_for_all_servers, control_fixture)
 {
