--- a/Meta/build-instrumented.sh
+++ b/Meta/build-instrumented.sh
@@ -3,6 +3,7 @@
 # and the sanitizer run of the tests share one build. Usage: Meta/build-instrumented.sh FOLDER TARGET...
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source Meta/compiler-cache.sh
 folder=$1
 shift
 cmake -S . -B "$folder" -G Ninja -DCMAKE_CXX_COMPILER=clang++-14 -DCMAKE_BUILD_TYPE=RelWithDebInfo \
