--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -3,6 +3,7 @@
 #include <Base/error_kind.h>
 #include <Messages/fleet.pb.h>
 #include <algorithm>
+#include <map>
 
 namespace bilberryyard {
 
@@ -33,6 +34,7 @@
         target.set_name(host.name);
         target.set_age_ms(toMilliseconds(host.age));
         target.set_control_port(host.controlPort);
+        target.set_directory_protocol(static_cast<uint32_t>(host.protocol));
     }
 
     absl::StatusOr<fleet_host> read(wire::HostRecord const& source)
@@ -47,7 +49,8 @@
             && source.role() != static_cast<uint32_t>(host_role::Control))
             return makeError(error_kind::InvalidArgument, "host role " + std::to_string(source.role()) + " is unknown");
         return fleet_host { { ip_address::fromIpv4(source.address()), *peerPort }, host_role { uint8_t(source.role()) },
-            source.zone(), source.name(), *controlPort, milliseconds(source.age_ms()) };
+            source.zone(), source.name(), *controlPort, milliseconds(source.age_ms()),
+            source.directory_protocol() == 0 ? directory_protocol::Renewals : directory_protocol::Leases };
     }
 
     void write(wire::BackendRecord& target, aged_announcement const& record)
@@ -117,6 +120,107 @@
         for (auto const token : message.renewed)
             update.add_renewed(token);
         update.set_all_servers(message.scope == server_scope::All);
+        for (auto const& server : message.late) {
+            update.add_late(server.token);
+            update.add_late_age_ms(toMilliseconds(server.age));
+        }
+        update.set_lease(message.lease == lease_renewal::Yes);
+    }
+
+    void write(wire::PageCursor& target, page_cursor const& cursor)
+    {
+        target.set_zone_done(cursor.zones == page_cursor::pass::OtherZones);
+        target.set_after_id(cursor.afterId);
+    }
+
+    page_cursor read(wire::PageCursor const& source)
+    {
+        return { source.zone_done() ? page_cursor::pass::OtherZones : page_cursor::pass::OwnZone, source.after_id() };
+    }
+
+    void write(wire::FleetMessage& target, directory_request const& message)
+    {
+        auto& request = *target.mutable_directory_request();
+        request.set_all_servers(message.scope == server_scope::All);
+        request.set_zone(message.zone);
+        request.set_epoch(message.epoch);
+        request.set_revision(message.revision);
+        write(*request.mutable_cursor(), message.cursor);
+    }
+
+    void write(wire::FleetMessage& target, age_request const& message)
+    {
+        auto& tokens = *target.mutable_age_request()->mutable_tokens();
+        tokens.Add(message.tokens.begin(), message.tokens.end());
+    }
+
+    void write(wire::FleetMessage& target, age_response const& message)
+    {
+        auto& response = *target.mutable_age_response();
+        for (auto const& server : message.servers) {
+            response.add_tokens(server.token);
+            response.add_age_ms(toMilliseconds(server.age));
+        }
+    }
+
+    /// Assigns an index to each distinct text of a page.
+    class text_table {
+    public:
+        explicit text_table(wire::DirectoryPage& page)
+            : m_page(page)
+        {
+        }
+
+        uint32_t indexOf(std::string const& text)
+        {
+            auto const [entry, isNew] = m_indices.emplace(text, static_cast<uint32_t>(m_page.texts_size()));
+            if (isNew)
+                m_page.add_texts(text);
+            return entry->second;
+        }
+
+    private:
+        wire::DirectoryPage& m_page;
+        std::map<std::string, uint32_t> m_indices;
+    };
+
+    void write(wire::PageRecord& target, page_record const& record, text_table& texts)
+    {
+        auto const& announcement = record.server.announcement;
+        target.set_id(announcement.id);
+        target.set_tag(announcement.tag);
+        target.set_service(texts.indexOf(announcement.service));
+        target.set_address(announcement.address.address.toIpv4());
+        target.set_port(announcement.address.port);
+        target.set_zone(texts.indexOf(announcement.zone));
+        target.set_version(texts.indexOf(announcement.version));
+        target.set_slots(announcement.slots);
+        target.set_state(static_cast<uint32_t>(announcement.state));
+        target.set_started_at_ms(announcement.startedAtMs);
+        target.set_sequence(announcement.sequence);
+        target.set_warm_up_left_ms(toMilliseconds(announcement.remainingWarmUp));
+        target.set_age_ms(toMilliseconds(record.server.age));
+        target.set_late(record.isLate);
+        target.set_announcer(record.announcer);
+    }
+
+    void write(wire::FleetMessage& target, directory_page const& message)
+    {
+        auto& page = *target.mutable_directory_page();
+        page.set_all_servers(message.scope == server_scope::All);
+        for (auto const& position : message.positions) {
+            auto& record = *page.add_positions();
+            record.set_address(position.announcer.address.toIpv4());
+            record.set_peer_port(position.announcer.port);
+            record.set_epoch(position.epoch);
+            record.set_revision(position.revision);
+        }
+        text_table texts(page);
+        for (auto const& record : message.records)
+            write(*page.add_records(), record, texts);
+        write(*page.mutable_cursor(), message.cursor);
+        write(*page.mutable_next(), message.next);
+        page.set_last(message.isLast);
     }
 
     void write(wire::FleetMessage& target, route_table const& message)
@@ -176,10 +280,35 @@
         return result;
     }
 
+    absl::StatusOr<fleet_message> read(wire::AgeRequest const& source)
+    {
+        return age_request { { source.tokens().begin(), source.tokens().end() } };
+    }
+
+    absl::StatusOr<std::vector<server_age>> readAges(
+        google::protobuf::RepeatedField<uint32_t> const& tokens, google::protobuf::RepeatedField<uint32_t> const& ages)
+    {
+        if (tokens.size() != ages.size())
+            return makeError(error_kind::InvalidArgument, "the numbers of servers and of their ages differ");
+        std::vector<server_age> result;
+        for (int index = 0; index < tokens.size(); ++index)
+            result.push_back({ tokens.Get(index), milliseconds(ages.Get(index)) });
+        return result;
+    }
+
+    absl::StatusOr<fleet_message> read(wire::AgeResponse const& source)
+    {
+        auto servers = readAges(source.tokens(), source.age_ms());
+        if (!servers.ok())
+            return servers.status();
+        return age_response { *std::move(servers) };
+    }
+
     absl::StatusOr<fleet_message> read(wire::DirectoryUpdate const& source)
     {
         directory_update result { source.epoch(), source.from_revision(), source.to_revision(), {}, {},
-            source.all_servers() ? server_scope::All : server_scope::Own };
+            source.all_servers() ? server_scope::All : server_scope::Own, {},
+            source.lease() ? lease_renewal::Yes : lease_renewal::No };
         for (auto const& record : source.records()) {
             auto announcement = read(record);
             if (!announcement.ok())
@@ -187,6 +316,64 @@
             result.records.push_back(*std::move(announcement));
         }
         result.renewed.assign(source.renewed().begin(), source.renewed().end());
+        auto late = readAges(source.late(), source.late_age_ms());
+        if (!late.ok())
+            return late.status();
+        result.late = *std::move(late);
+        return result;
+    }
+
+    absl::StatusOr<fleet_message> read(wire::DirectoryRequest const& source)
+    {
+        return directory_request { source.all_servers() ? server_scope::All : server_scope::Own, source.zone(),
+            source.epoch(), source.revision(), read(source.cursor()) };
+    }
+
+    absl::StatusOr<page_record> read(wire::PageRecord const& source, wire::DirectoryPage const& page)
+    {
+        auto const port = toPort(source.port());
+        if (!port.ok())
+            return port.status();
+        if (source.state() < 1 || source.state() > static_cast<uint32_t>(backend_state::Gone))
+            return makeError(
+                error_kind::InvalidArgument, "backend state " + std::to_string(source.state()) + " is unknown");
+        auto const textCount = static_cast<uint32_t>(page.texts_size());
+        if (source.service() >= textCount || source.zone() >= textCount || source.version() >= textCount)
+            return makeError(error_kind::InvalidArgument, "a record refers to a text that is not in its page");
+        if (source.announcer() >= static_cast<uint32_t>(page.positions_size()))
+            return makeError(error_kind::InvalidArgument, "a record refers to a position that is not in its page");
+        auto const textAt = [&](uint32_t index) { return page.texts(static_cast<int>(index)); };
+        page_record result;
+        result.server.announcement = { source.id(), source.tag(), textAt(source.service()),
+            { ip_address::fromIpv4(source.address()), *port }, textAt(source.zone()), textAt(source.version()),
+            source.slots(), backend_state { uint8_t(source.state()) }, source.started_at_ms(), source.sequence(),
+            milliseconds(source.warm_up_left_ms()) };
+        result.server.age = milliseconds(source.age_ms());
+        result.isLate = source.late();
+        result.announcer = source.announcer();
+        return result;
+    }
+
+    absl::StatusOr<fleet_message> read(wire::DirectoryPage const& source)
+    {
+        directory_page result;
+        result.scope = source.all_servers() ? server_scope::All : server_scope::Own;
+        for (auto const& record : source.positions()) {
+            auto const port = toPort(record.peer_port());
+            if (!port.ok())
+                return port.status();
+            result.positions.push_back(
+                { { ip_address::fromIpv4(record.address()), *port }, record.epoch(), record.revision() });
+        }
+        for (auto const& record : source.records()) {
+            auto decoded = read(record, source);
+            if (!decoded.ok())
+                return decoded.status();
+            result.records.push_back(*std::move(decoded));
+        }
+        result.cursor = read(source.cursor());
+        result.next = read(source.next());
+        result.isLast = source.last();
         return result;
     }
 
@@ -251,6 +438,14 @@
         return read(source.welcome());
     case wire::FleetMessage::kDirectory:
         return read(source.directory());
+    case wire::FleetMessage::kDirectoryRequest:
+        return read(source.directory_request());
+    case wire::FleetMessage::kDirectoryPage:
+        return read(source.directory_page());
+    case wire::FleetMessage::kAgeRequest:
+        return read(source.age_request());
+    case wire::FleetMessage::kAgeResponse:
+        return read(source.age_response());
     case wire::FleetMessage::kRoutes:
         return read(source.routes());
     case wire::FleetMessage::kControl:
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -15,6 +15,14 @@
     Control = 2,
 };
 
+/// How a host exchanges the directory of backend servers.
+enum class directory_protocol : uint32_t {
+    /// Full directories in one message, and the tokens of all renewed servers.
+    Renewals = 0,
+    /// Directories in pages on request, and leases that name only the servers whose announcements are overdue.
+    Leases = 1,
+};
+
 /// A daemon of the deployment as its peers know it.
 struct fleet_host {
     /// Where it receives messages from other daemons.
@@ -26,6 +34,7 @@
     uint16_t controlPort = 0;
     /// Time since it was last seen.
     duration age {};
+    directory_protocol protocol = directory_protocol::Leases;
     auto operator<=>(fleet_host const&) const = default;
 };
 
@@ -74,6 +83,20 @@
     auto operator<=>(aged_announcement const&) const = default;
 };
 
+/// How long ago a server announced itself.
+struct server_age {
+    uint32_t token = 0;
+    duration age {};
+    auto operator<=>(server_age const&) const = default;
+};
+
+/// Whether a directory update confirms that the sender's servers still announce themselves.
+enum class lease_renewal : uint8_t {
+    No,
+    /// It does for all of them, except those that this update or an earlier one reports as late.
+    Yes,
+};
+
 /// Changes of a control host's directory.
 struct directory_update {
     /// Identifies the incarnation of the control host; differs after each restart.
@@ -82,13 +105,85 @@
     uint64_t fromRevision = 0;
     uint64_t toRevision = 0;
     std::vector<aged_announcement> records;
-    /// Flow tokens of servers whose announcements were renewed without a change.
+    /// Flow tokens of servers whose announcements were renewed without a change. With a lease only those that were late
+    /// before, or that announced themselves to another control host.
     std::vector<uint32_t> renewed;
     /// Whose servers the records are.
     server_scope scope = server_scope::Own;
+    /// Servers whose announcements are overdue.
+    std::vector<server_age> late {};
+    lease_renewal lease = lease_renewal::No;
     auto operator<=>(directory_update const&) const = default;
 };
 
+/// Position in a directory that is sent in pages: first the servers of the receiver's zone in the order of their
+/// identifiers, then all others. It holds no state of the sender, so a receiver may continue at another host.
+struct page_cursor {
+    enum class pass : uint8_t {
+        OwnZone,
+        OtherZones,
+    };
+    pass zones = pass::OwnZone;
+    /// The last identifier that was received in this pass; empty at its start.
+    std::string afterId;
+    auto operator<=>(page_cursor const&) const = default;
+};
+
+/// Requests the next page of a directory, or the changes that the sender lacks.
+struct directory_request {
+    server_scope scope = server_scope::Own;
+    /// The sender's availability zone.
+    std::string zone;
+    /// Epoch and revision of the receiver's own directory that the sender has stored; for the scope Own.
+    uint64_t epoch = 0;
+    uint64_t revision = 0;
+    page_cursor cursor;
+    auto operator<=>(directory_request const&) const = default;
+};
+
+/// How much of a control host's own directory a host has stored.
+struct feed_position {
+    /// The control host that the servers announce themselves to.
+    ip_endpoint announcer;
+    uint64_t epoch = 0;
+    uint64_t revision = 0;
+    auto operator<=>(feed_position const&) const = default;
+};
+
+struct page_record {
+    aged_announcement server;
+    /// Whether its announcements are overdue.
+    bool isLate = false;
+    /// Index into directory_page::positions.
+    uint32_t announcer = 0;
+    auto operator<=>(page_record const&) const = default;
+};
+
+/// A part of a directory that fits into one datagram.
+struct directory_page {
+    server_scope scope = server_scope::Own;
+    std::vector<feed_position> positions;
+    std::vector<page_record> records;
+    page_cursor cursor;
+    /// Where the next page starts.
+    page_cursor next;
+    bool isLast = false;
+    auto operator<=>(directory_page const&) const = default;
+};
+
+/// Requests the exact times of the last announcements of servers that do not respond to callers. A lease tells them
+/// only to within a few announcement intervals.
+struct age_request {
+    std::vector<uint32_t> tokens;
+    auto operator<=>(age_request const&) const = default;
+};
+
+/// Response to age_request with the servers that announce themselves to its sender.
+struct age_response {
+    std::vector<server_age> servers;
+    auto operator<=>(age_response const&) const = default;
+};
+
 /// Request of a control host without a member identity to join the replicated log.
 struct join_request {
     fleet_host host;
@@ -104,7 +199,7 @@
     auto operator<=>(control_envelope const&) const = default;
 };
 
-using fleet_message
-    = std::variant<hello_message, hello_response, directory_update, route_table, control_envelope, join_request>;
+using fleet_message = std::variant<hello_message, hello_response, directory_update, route_table, control_envelope,
+    join_request, directory_request, directory_page, age_request, age_response>;
 
 } // namespace bilberryyard
--- a/Libraries/Membership/backend_directory.cpp
+++ b/Libraries/Membership/backend_directory.cpp
@@ -15,6 +15,12 @@
     return entry == m_entries.end() ? nullptr : &entry->second;
 }
 
+std::string const* backend_directory::ownerOf(ip_endpoint const& address) const
+{
+    auto const owner = m_addressOwners.find(address);
+    return owner == m_addressOwners.end() ? nullptr : &owner->second;
+}
+
 bool backend_directory::isOutdated(
     backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const
 {
@@ -81,10 +87,12 @@
     auto comparable = announcement;
     comparable.sequence = entry.announcement.sequence;
     comparable.remainingWarmUp = entry.announcement.remainingWarmUp;
-    bool const warmUpChanged
-        = (announcement.remainingWarmUp > duration::zero()) != (entry.announcement.remainingWarmUp > duration::zero());
-    if (comparable == entry.announcement && !warmUpChanged) {
+    // The end of a warm-up needs no change, since its time is known from the beginning.
+    bool const startedWarmUp
+        = announcement.remainingWarmUp > duration::zero() && entry.announcement.remainingWarmUp == duration::zero();
+    if (comparable == entry.announcement && !startedWarmUp) {
         entry.announcement.sequence = announcement.sequence;
+        entry.announcement.remainingWarmUp = announcement.remainingWarmUp;
         return announcement_effect::Renewed;
     }
     updateEntry(entry, announcement, now);
--- a/Libraries/Membership/backend_directory.h
+++ b/Libraries/Membership/backend_directory.h
@@ -61,8 +61,12 @@
     std::map<std::string, backend_entry> const& entries() const { return m_entries; }
     /// @return The entry, or nullptr for an unknown server.
     backend_entry const* find(std::string const& id) const;
+    /// @return Identifier of the server that currently uses the address, or nullptr.
+    std::string const* ownerOf(ip_endpoint const& address) const;
     /// @return A counter that increases with each change other than a renewal.
     uint64_t revision() const { return m_revision; }
+    /// @return A new revision, for a change of a server that its entry does not contain.
+    uint64_t advanceRevision() { return ++m_revision; }
 
 private:
     bool isOutdated(
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -40,6 +40,8 @@
         m_services[entry.announcement.service].push_back(token);
     backend.token = token;
     backend.entry = entry;
+    backend.liveness = { entry.lastSeenAt, nullptr };
+    backend.announcedAt = std::max(backend.announcedAt, entry.lastSeenAt);
     backend.warmUpEndsAt = now + entry.announcement.remainingWarmUp;
     if (restarted) {
         backend.load.retransmissionsSinceResponse = 0;
@@ -48,10 +50,27 @@
     }
 }
 
-void backend_pool::renew(uint32_t token, monotonic_time lastSeenAt)
+void backend_pool::setLiveness(uint32_t token, server_liveness const& liveness)
 {
-    if (auto* const backend = find(token))
-        backend->entry.lastSeenAt = std::max(backend->entry.lastSeenAt, lastSeenAt);
+    if (auto* const backend = find(token)) {
+        backend->liveness = liveness;
+        backend->announcedAt = std::max(backend->announcedAt, liveness.lastSeenAt);
+    }
+}
+
+void backend_pool::recordAnnouncement(uint32_t token, monotonic_time announcedAt, monotonic_time now)
+{
+    if (auto* const backend = find(token)) {
+        backend->announcedAt = std::max(backend->announcedAt, announcedAt);
+        backend->announcementCheckedAt = now;
+    }
+}
+
+bool backend_pool::awaitsAnnouncementCheck(pooled_backend const& backend, monotonic_time now) const
+{
+    auto const& lease = backend.liveness.lease;
+    return lease && now - lease->renewedAt <= m_settings.leaseTimeout
+        && backend.announcementCheckedAt <= backend.load.withoutResponseSince;
 }
 
 void backend_pool::remove(std::string const& id)
@@ -91,7 +110,7 @@
     bool const isEjectionCandidate = load.retransmissionsSinceResponse >= m_settings.ejectionRetransmissions;
     auto const intervals
         = isEjectionCandidate ? m_settings.ejectionCandidateIntervals : m_settings.unresponsiveIntervals;
-    auto const timeSinceLastSeen = seconds(now - backend.entry.lastSeenAt);
+    auto const timeSinceLastSeen = seconds(now - backend.liveness.latest());
     if (m_health == directory_health::Current
         && timeSinceLastSeen > intervals * seconds(m_settings.announcementInterval))
         return false;
@@ -223,6 +242,10 @@
         return;
     if (backend.load.retransmissionsSinceResponse++ == 0)
         backend.load.withoutResponseSince = since;
+    if (now - backend.suspectedAt >= m_settings.announcementQueryInterval) {
+        backend.suspectedAt = now;
+        m_suspects.push_back(backend.token);
+    }
     if (backend.load.retransmissionsSinceResponse < m_settings.ejectionRetransmissions
         || backend.load.ejectedUntil > now)
         return;
@@ -241,7 +264,7 @@
     auto const& load = backend.load;
     // If a control host has seen the server since then, it is up and its responses may be in transit.
     if (load.retransmissionsSinceResponse < m_settings.presumedDeadRetransmissions
-        || backend.entry.lastSeenAt > load.withoutResponseSince)
+        || backend.announcedAt > load.withoutResponseSince || awaitsAnnouncementCheck(backend, now))
         return false;
     auto const mean = m_meanResponseSeconds.find(backend.entry.announcement.service);
     auto const responses
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Membership/backend_directory.h>
+#include <Membership/server_liveness.h>
 #include <Placement/backend_load.h>
 #include <Placement/flow_token.h>
 #include <Placement/overload_control.h>
@@ -18,6 +19,13 @@
 struct pooled_backend {
     uint32_t token = noToken;
     backend_entry entry;
+    server_liveness liveness;
+    /// Time of the latest announcement that is known exactly, not only through a lease.
+    monotonic_time announcedAt;
+    /// When a control host last reported that time on request.
+    monotonic_time announcementCheckedAt;
+    /// When the server was last listed by drainSuspects().
+    monotonic_time suspectedAt;
     monotonic_time warmUpEndsAt;
     backend_load load;
 };
@@ -41,8 +49,8 @@
     /// Adds a server or applies its newer directory entry. A new incarnation resets the ejection state.
     /// @param now Start of the remaining warm-up that the entry states.
     void update(backend_entry const& entry, monotonic_time now);
-    /// Records that a control host received an announcement of the server at this time. Ignores unknown tokens.
-    void renew(uint32_t token, monotonic_time lastSeenAt);
+    /// Records when the server was last known to be alive. Ignores unknown tokens.
+    void setLiveness(uint32_t token, server_liveness const& liveness);
     /// @param id Identifier of a server that the directory has removed.
     void remove(std::string const& id);
     void setDirectoryHealth(directory_health health) { m_health = health; }
@@ -69,6 +77,12 @@
     /// @param since When the packet's first transmission arrived.
     void recordRetransmission(pooled_backend& backend, monotonic_time since, monotonic_time now);
 
+    /// Records the time of an announcement that a control host has reported on request. Ignores unknown tokens.
+    void recordAnnouncement(uint32_t token, monotonic_time announcedAt, monotonic_time now);
+    /// @return Flow tokens of servers for which the exact time of the last announcement is needed, since they have not
+    ///     responded to a retransmitted packet.
+    std::vector<uint32_t> drainSuspects() { return std::exchange(m_suspects, {}); }
+
     overload_control const& overload() const { return m_overload; }
 
     /// @return Servers that were ejected since the last call, with the duration of each ejection in milliseconds.
@@ -96,6 +110,9 @@
     double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
     double idleFlowWeight(std::string const& service);
     double slowness(pooled_backend const& backend, monotonic_time now) const;
+    /// @return Whether a control host confirms the server with a lease, and has not reported yet whether the server has
+    ///     announced itself since it stopped responding.
+    bool awaitsAnnouncementCheck(pooled_backend const& backend, monotonic_time now) const;
     bool mayEject(pooled_backend const& candidate, monotonic_time now) const;
 
     placement_settings m_settings;
@@ -112,6 +129,7 @@
     std::map<std::string, double> m_busyShares;
     std::vector<std::pair<std::string, int64_t>> m_newEjections;
     std::vector<double> m_responseTimes;
+    std::vector<uint32_t> m_suspects;
 };
 
 } // namespace bilberryyard
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -40,6 +40,11 @@
     /// The same in mean response times of the service; the longer time applies. A server that is slow or has a queue
     /// still responds to some callers within this time.
     double presumedDeadResponseTimes = 8;
+    /// Minimum time between two queries for the exact time of a server's last announcement. The result must arrive
+    /// within presumedDeadTimeout.
+    duration announcementQueryInterval = std::chrono::milliseconds(100);
+    /// A control host whose lease is older is not expected to respond to such a query.
+    duration leaseTimeout = std::chrono::milliseconds(1'500);
     /// Callers retransmit a packet after 200 ms at the earliest. A retransmission that arrives sooner after the first
     /// transmission was delayed together with it, on the way to the balancer or in its socket, and says nothing about
     /// the server.
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -1,6 +1,7 @@
 #include "balancer_control.h"
 
 #include <Base/error_kind.h>
+#include <Base/hashing.h>
 #include <Fleet/fleet_codec.h>
 #include <algorithm>
 
@@ -16,6 +17,8 @@
     // Three hello messages without a response.
     constexpr duration unresponsiveTimeout = std::chrono::milliseconds(2'200);
     constexpr duration hostExpiry = std::chrono::seconds(60);
+    // Expiry visits all servers; those that have left are kept for minutes.
+    constexpr duration expiryInterval = std::chrono::seconds(5);
 
 } // namespace
 
@@ -25,6 +28,9 @@
     , m_channel(channel)
     , m_router(router)
     , m_hosts({ settings.address, settings.peerPort })
+    , m_directory(settings.zone,
+          [this](ip_endpoint const& receiver, fleet_message const& message) { m_channel.send(receiver, message); })
+    , m_fetch({ server_scope::All, settings.zone, 0, 0, {} })
     , m_startedAt(now)
 {
     setSeeds(settings.seeds);
@@ -61,11 +67,14 @@
     }
     link.isUnresponsive = false;
     link.lastSeenAt = now;
+    if (auto const* const host = m_hosts.find(sender))
+        link.protocol = host->host.protocol;
     link.isDirectoryRestored = message.isDirectoryRestored;
     // Two announcement intervals: each server announces itself in the first, and again in the second if that failed.
     link.completeAt = now - message.uptime + 2 * m_settings.announcementInterval;
     // A control host that has just started sends a hello response unrequested, before the next hello message is due.
     requestServers(sender, now);
+    requestPage(now);
 }
 
 void balancer_control::handle(ip_endpoint const& sender, directory_update const& message, monotonic_time now)
@@ -73,34 +82,45 @@
     auto& link = m_links[sender];
     link.lastSeenAt = now;
     link.hasAllServers = link.hasAllServers || message.scope == server_scope::All;
-    auto const changes = m_view.apply(sender, message, now);
-    for (auto const& [token, lastSeenAt] : changes.renewed)
-        m_router.pool().renew(token, lastSeenAt);
-    for (auto const& id : changes.changed) {
-        updatePool(id, now);
-        auto const& entry = *m_view.directory().find(id);
-        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.lastSeenAt);
-        m_logger.emit(events::serverAnnounced,
-            "server=" + id + " service=" + entry.announcement.service
-                + " state=" + std::to_string(static_cast<int>(entry.announcement.state))
-                + " sequence=" + std::to_string(entry.announcement.sequence) + " age_ms=" + std::to_string(age.count())
-                + " from=" + link.name);
-    }
+    applyChanges(sender, m_directory.apply(sender, message, now), now);
 }
 
-void balancer_control::updatePool(std::string const& id, monotonic_time now)
+void balancer_control::handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now)
 {
-    auto const* const entry = m_view.directory().find(id);
-    if (!entry)
+    auto& link = m_links[sender];
+    link.lastSeenAt = now;
+    applyChanges(sender, m_directory.apply(sender, message, now), now);
+    if (message.scope != server_scope::All || !m_fetch.accept(message))
         return;
-    m_router.pool().update(*entry, now);
-    // When a later incarnation of a server announces itself at the same address, the directory sets the earlier one to
-    // Gone.
-    for (auto const& [otherId, other] : m_view.directory().entries()) {
-        if (otherId != id && other.announcement.address == entry->announcement.address
-            && other.announcement.state == backend_state::Gone)
-            m_router.pool().update(other, now);
+    if (!m_fetch.isComplete())
+        return requestPage(now);
+    m_directory.setForwardedPositions(m_fetch.positions());
+    link.hasAllServers = true;
+}
+
+void balancer_control::handle(ip_endpoint const&, age_response const& message, monotonic_time now)
+{
+    for (auto const& server : message.servers)
+        m_router.pool().recordAnnouncement(server.token, now - server.age, now);
+}
+
+void balancer_control::applyChanges(
+    ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now)
+{
+    for (auto const& id : changes.changed) {
+        auto const* const entry = m_directory.view().directory().find(id);
+        if (!entry)
+            continue;
+        m_router.pool().update(*entry, now);
+        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry->lastSeenAt);
+        m_logger.emit(events::serverAnnounced,
+            "server=" + id + " service=" + entry->announcement.service
+                + " state=" + std::to_string(static_cast<int>(entry->announcement.state))
+                + " sequence=" + std::to_string(entry->announcement.sequence) + " age_ms=" + std::to_string(age.count())
+                + " from=" + m_links[sender].name);
     }
+    for (auto const& [token, liveness] : changes.renewed)
+        m_router.pool().setLiveness(token, liveness);
 }
 
 void balancer_control::handle(ip_endpoint const& sender, route_table const& message, monotonic_time now)
@@ -132,24 +152,89 @@
 {
     fleet_host const self { { m_settings.address, m_settings.peerPort }, host_role::Balancer, m_settings.zone,
         m_settings.name, 0, {} };
-    auto const knownPosition = m_view.positionOf(peer);
+    auto const knownPosition = m_directory.view().positionOf(peer);
     m_channel.send(
         peer, hello_message { self, m_router.version(), knownPosition.epoch, knownPosition.revision, hosts, servers });
 }
 
 void balancer_control::requestServers(ip_endpoint const& peer, monotonic_time now)
 {
-    if (m_hasDirectory || m_links[peer].hasAllServers || now - m_serversRequestedAt < serverRequestInterval)
+    auto const& link = m_links[peer];
+    if (m_hasDirectory || link.hasAllServers || link.protocol != directory_protocol::Renewals
+        || now - m_serversRequestedAt < serverRequestInterval)
         return;
     m_serversRequestedAt = now;
     sendHello(peer, host_list::NotRequested, server_scope::All);
 }
 
+ip_endpoint const* balancer_control::choosePageSource(monotonic_time now) const
+{
+    struct candidate {
+        bool isUnusable;
+        bool isRemote;
+        uint64_t hash;
+        ip_endpoint const* peer;
+        auto operator<=>(candidate const&) const = default;
+    };
+    std::vector<candidate> candidates;
+    for (auto const& [peer, link] : m_links) {
+        if (link.protocol != directory_protocol::Leases || !isReachable(link, now))
+            continue;
+        auto const* const host = m_hosts.find(peer);
+        bool const isRemote = !host || host->host.zone != m_settings.zone;
+        // Balancers that start together spread over the control hosts by their addresses.
+        auto const hash = hashPair(m_settings.address.toIpv4(), peer.address.toIpv4());
+        candidates.push_back({ !isUsable(link, now), isRemote, hash, &peer });
+    }
+    if (candidates.empty())
+        return nullptr;
+    std::sort(candidates.begin(), candidates.end());
+    return candidates[static_cast<size_t>(m_fetch.requestsSincePage()) % candidates.size()].peer;
+}
+
+bool balancer_control::isReachable(control_link const& link, monotonic_time now) const
+{
+    return link.lastSeenAt != monotonic_time() && now - link.lastSeenAt <= unresponsiveTimeout;
+}
+
+bool balancer_control::isUsable(control_link const& link, monotonic_time now)
+{
+    return now >= link.completeAt || link.isDirectoryRestored;
+}
+
+void balancer_control::requestPage(monotonic_time now)
+{
+    if (m_hasDirectory || (!m_fetch.isComplete() && !m_fetch.isDue(now)))
+        return;
+    auto const* const source = choosePageSource(now);
+    if (!source)
+        return;
+    if (m_fetch.isComplete()) {
+        // The servers came from a control host that had just started, or that is down by now.
+        auto const& link = m_links.at(*source);
+        if (link.hasAllServers || !isUsable(link, now))
+            return;
+        m_fetch = directory_fetch({ server_scope::All, m_settings.zone, 0, 0, {} });
+    }
+    m_channel.send(*source, m_fetch.nextRequest(now));
+}
+
+void balancer_control::sendAgeRequests(monotonic_time now)
+{
+    auto tokens = m_router.pool().drainSuspects();
+    if (tokens.empty())
+        return;
+    age_request const request { std::move(tokens) };
+    for (auto const& [peer, link] : m_links) {
+        if (link.protocol == directory_protocol::Leases && now - link.lastSeenAt <= unresponsiveTimeout)
+            m_channel.send(peer, request);
+    }
+}
+
 size_t balancer_control::reachableControlCount(monotonic_time now) const
 {
-    return static_cast<size_t>(std::count_if(m_links.begin(), m_links.end(), [&](auto const& item) {
-        return item.second.lastSeenAt != monotonic_time() && now - item.second.lastSeenAt <= unresponsiveTimeout;
-    }));
+    return static_cast<size_t>(
+        std::count_if(m_links.begin(), m_links.end(), [&](auto const& item) { return isReachable(item.second, now); }));
 }
 
 void balancer_control::expireLinks(monotonic_time now)
@@ -171,12 +256,18 @@
 
 void balancer_control::step(monotonic_time now)
 {
-    if (now < nextDeadline())
+    sendAgeRequests(now);
+    m_directory.step(now);
+    requestPage(now);
+    if (now < m_helloSentAt + (isReady() ? helloInterval : startupHelloInterval))
         return;
     sendHello(now);
     expireLinks(now);
-    for (auto const& id : m_view.expire(now))
-        m_router.pool().remove(id);
+    if (now - m_expiredAt >= expiryInterval) {
+        m_expiredAt = now;
+        for (auto const& id : m_directory.view().expire(now))
+            m_router.pool().remove(id);
+    }
     updateReadiness(now);
 }
 
@@ -184,19 +275,18 @@
 {
     bool isComplete = false;
     for (auto const& [peer, link] : m_links) {
-        bool const isReachable = link.lastSeenAt != monotonic_time() && now - link.lastSeenAt <= unresponsiveTimeout;
-        if (!isReachable || m_view.positionOf(peer).epoch == 0)
+        if (!isReachable(link, now) || m_directory.view().positionOf(peer).epoch == 0)
             continue;
         isComplete = isComplete || now >= link.completeAt;
-        bool const isUsable = now >= link.completeAt || link.isDirectoryRestored;
-        m_hasDirectory = m_hasDirectory || (isUsable && link.hasAllServers);
+        m_hasDirectory = m_hasDirectory || (isUsable(link, now) && link.hasAllServers);
     }
     m_router.pool().setDirectoryHealth(isComplete ? directory_health::Current : directory_health::Stale);
 }
 
 monotonic_time balancer_control::nextDeadline() const
 {
-    return m_helloSentAt + (isReady() ? helloInterval : startupHelloInterval);
+    auto const helloAt = m_helloSentAt + (isReady() ? helloInterval : startupHelloInterval);
+    return std::min(helloAt, m_directory.nextDeadline());
 }
 
 } // namespace bilberryyard
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "directory_view.h"
+#include "directory_fetch.h"
+#include "directory_subscription.h"
 #include "fleet_settings.h"
 #include "host_list_rotation.h"
 #include "known_hosts.h"
@@ -50,6 +51,7 @@
         bool hasAllServers = false;
         std::string name;
         bool isUnresponsive = false;
+        directory_protocol protocol = directory_protocol::Renewals;
     };
 
     void handle(ip_endpoint const& sender, hello_response const& message, monotonic_time now);
@@ -58,11 +60,23 @@
     void handle(ip_endpoint const&, hello_message const&, monotonic_time) { }
     void handle(ip_endpoint const&, control_envelope const&, monotonic_time) { }
     void handle(ip_endpoint const&, join_request const&, monotonic_time) { }
+    void handle(ip_endpoint const&, directory_request const&, monotonic_time) { }
+    void handle(ip_endpoint const&, age_request const&, monotonic_time) { }
+    void handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, age_response const& message, monotonic_time now);
     void sendHello(monotonic_time now);
     void sendHello(ip_endpoint const& peer, host_list hosts, server_scope servers);
     /// Requests all servers from a reachable control host if no directory is known yet.
     void requestServers(ip_endpoint const& peer, monotonic_time now);
-    void updatePool(std::string const& id, monotonic_time now);
+    /// Requests the next page of all servers until they have been received once.
+    void requestPage(monotonic_time now);
+    /// @return The control host to request the next page from, or nullptr if none is reachable.
+    ip_endpoint const* choosePageSource(monotonic_time now) const;
+    bool isReachable(control_link const& link, monotonic_time now) const;
+    /// @return Whether the control host has had time to receive an announcement of every server, or has restored them.
+    static bool isUsable(control_link const& link, monotonic_time now);
+    void applyChanges(ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now);
+    void sendAgeRequests(monotonic_time now);
     void expireLinks(monotonic_time now);
 
     fleet_settings m_settings;
@@ -72,8 +86,11 @@
     known_hosts m_hosts;
     host_list_rotation m_hostListRotation;
     std::map<ip_endpoint, control_link> m_links;
-    directory_view m_view;
+    directory_subscription m_directory;
+    /// Fetches the servers of all control hosts until they have been received once.
+    directory_fetch m_fetch;
     bool m_hasDirectory = false;
+    monotonic_time m_expiredAt;
     monotonic_time m_startedAt;
     monotonic_time m_helloSentAt;
     monotonic_time m_serversRequestedAt;
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -250,7 +250,7 @@
     if (auto const* const backend = m_router.pool().find(token)) {
         auto const& load = backend->load;
         auto const sinceLastSeen
-            = std::chrono::duration_cast<std::chrono::milliseconds>(now - backend->entry.lastSeenAt);
+            = std::chrono::duration_cast<std::chrono::milliseconds>(now - backend->liveness.latest());
         line << " server=" << backend->entry.announcement.id << " zone=" << backend->entry.announcement.zone
              << " state=" << static_cast<int>(backend->entry.announcement.state) << " busy=" << load.busy
              << " opening=" << load.opening << " open=" << load.open
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -19,11 +19,22 @@
     // Log lines are written in batches: at this interval while the process is busy, at the next wake-up otherwise.
     constexpr duration flushInterval = std::chrono::milliseconds(50);
     constexpr duration maintenanceInterval = std::chrono::seconds(1);
-    // Renewals are batched. The delay is harmless since a balancer removes a server only after several announcement
-    // intervals without a renewal.
-    constexpr duration renewalInterval = std::chrono::milliseconds(500);
-    // Changes that arrive within this time are sent in one update.
-    constexpr duration changeBatchDelay = std::chrono::milliseconds(20);
+    // Changes that arrive within this time are sent in one update. The time grows with the number of receivers, because
+    // sending to one of them takes up to a tenth of a millisecond on a small host.
+    constexpr duration minimumChangeDelay = std::chrono::milliseconds(20);
+    constexpr duration changeDelayPerReceiver = std::chrono::microseconds(500);
+    constexpr duration maximumChangeDelay = std::chrono::milliseconds(200);
+    // A lease is renewed this often. A lost lease is harmless, since balancers tolerate several announcement intervals.
+    constexpr duration leaseInterval = std::chrono::milliseconds(400);
+    // Announcement intervals after which a server counts as late. Together with leaseInterval it is about as long as
+    // balancers wait before they stop using a server that does not respond to callers either.
+    constexpr double lateIntervals = 1.2;
+    // A paged copy of the directory is replaced after this time. The ages in it are off by up to this much.
+    constexpr duration pagesLifetime = std::chrono::milliseconds(100);
+    // A change of more servers than this is sent in pages.
+    constexpr size_t maximumUpdateRecords = 80;
+    // Directories of up to this many pages are sent unrequested to all known balancers after a restart.
+    constexpr size_t maximumPushedPages = 2;
     // The leader sends new routes at once, but at most one version per interval. Followers wait for the delay, and then
     // send them only to balancers that still lack them.
     constexpr duration routePublicationInterval = std::chrono::milliseconds(150);
@@ -59,6 +70,15 @@
         return static_cast<uint64_t>(random()) << 32 | random() | 1;
     }
 
+    // Converts an update for hosts that know no leases.
+    directory_update withoutLease(directory_update update, std::vector<uint32_t> renewed)
+    {
+        update.lease = lease_renewal::No;
+        update.late.clear();
+        update.renewed = std::move(renewed);
+        return update;
+    }
+
     std::vector<ip_endpoint> peersOfSeeds(fleet_settings const& settings)
     {
         std::vector<ip_endpoint> peers;
@@ -93,6 +113,8 @@
     , m_startedAt(bootTime())
     , m_hosts({ settings.address, settings.peerPort })
     , m_feed({}, randomNonZeroEpoch())
+    , m_otherServers(settings.zone,
+          [this](ip_endpoint const& receiver, fleet_message const& message) { m_channel.send(receiver, message); })
     , m_group(
           settings,
           [this](ip_endpoint const& receiver, fleet_message const& message) { m_channel.send(receiver, message); },
@@ -198,6 +220,7 @@
     while (auto const task = m_tasks.pop())
         (*task)();
     m_group.step(m_hosts, now);
+    m_otherServers.step(now);
     refreshRoutes(now);
     publishDirectory(now);
     publishRoutes(now);
@@ -206,7 +229,8 @@
     if (now - m_maintainedAt >= maintenanceInterval) {
         m_maintainedAt = now;
         m_feed.expire(now);
-        m_otherServers.expire(now);
+        for (auto const& id : m_otherServers.view().expire(now))
+            m_feed.forgetElsewhere(id);
         std::erase_if(m_fullDirectorySentAt, [&](auto const& item) { return now - item.second > hostExpiry; });
         m_hosts.expire(now, hostExpiry);
         saveState(now);
@@ -224,7 +248,10 @@
 void control_service::wait(monotonic_time now)
 {
     auto deadline = std::min(m_helloSentAt + helloInterval, m_group.nextDeadline());
-    deadline = std::min(deadline, m_directoryPublishedAt + (m_feed.hasChanges() ? changeBatchDelay : renewalInterval));
+    deadline = std::min(deadline, m_leaseSentAt + leaseInterval);
+    deadline = std::min(deadline, m_otherServers.nextDeadline());
+    if (m_feed.hasChanges())
+        deadline = std::min(deadline, m_directoryPublishedAt + changeDelay());
     if (m_group.isLeader() && m_publishedVersion < m_routesVersion)
         deadline = std::min(deadline, m_routesPublishedAt + routePublicationInterval);
     auto const remaining
@@ -259,7 +286,8 @@
     m_hosts.updateHost(host, now);
     m_channel.send(sender,
         message.hosts == host_list::Requested ? makeHelloResponse(host.role, now) : makeSelfOnlyHelloResponse(now));
-    sendMissingServers(sender, message, now);
+    if (host.protocol == directory_protocol::Renewals)
+        sendMissingServers(sender, message, now);
     if (host.role != host_role::Balancer)
         return;
     bool const isDue
@@ -275,7 +303,7 @@
     if (!requestsAll && !update)
         return;
     if (!requestsAll && update->fromRevision > 0)
-        return m_channel.send(receiver, *update);
+        return m_channel.send(receiver, withoutLease(*update, update->renewed));
     auto& sentAt = m_fullDirectorySentAt[{ receiver, message.servers }];
     if (now - sentAt < fullDirectoryInterval)
         return;
@@ -283,7 +311,75 @@
     if (requestsAll)
         m_channel.sendEncoded(receiver, encodedServers(now));
     else
-        m_channel.send(receiver, *update);
+        m_channel.send(receiver, withoutLease(*update, update->renewed));
+}
+
+directory_pages& control_service::pages(server_scope scope, monotonic_time now)
+{
+    auto& directory = m_pages[scope];
+    if (directory.assignedAt != monotonic_time() && now - directory.assignedAt < pagesLifetime)
+        return directory.pages;
+    directory.assignedAt = now;
+    auto [records, revision] = m_feed.records(now);
+    std::vector<feed_position> positions { { self().peer, m_feed.epoch(), revision } };
+    if (scope == server_scope::All) {
+        // Of two records of one server, the one of the control host that it announces itself to comes first.
+        std::map<std::string, page_record> merged;
+        for (auto& record : m_otherServers.view().records(positions, now))
+            merged.emplace(record.server.announcement.id, std::move(record));
+        for (auto& record : records) {
+            auto& known = merged.try_emplace(record.server.announcement.id, record).first->second;
+            if (!record.isLate || record.server.age < known.server.age)
+                known = std::move(record);
+        }
+        records.clear();
+        for (auto& [id, record] : merged)
+            records.push_back(std::move(record));
+    }
+    directory.pages.assign(std::move(records), std::move(positions), scope);
+    return directory.pages;
+}
+
+void control_service::handle(ip_endpoint const& sender, directory_request const& message, monotonic_time now)
+{
+    if (message.scope == server_scope::Own && message.epoch == m_feed.epoch()) {
+        auto const update = m_feed.updateSince(message.epoch, message.revision, now);
+        if (!update)
+            return m_channel.send(sender, m_feed.lease());
+        if (message.revision > 0 && update->records.size() <= maximumUpdateRecords)
+            return m_channel.send(sender, *update);
+    }
+    m_channel.sendEncoded(sender, pages(message.scope, now).encodedPageAt(message.cursor, message.zone));
+}
+
+void control_service::handle(ip_endpoint const& sender, age_request const& message, monotonic_time now)
+{
+    auto servers = m_feed.agesOf(message.tokens, now);
+    if (!servers.empty())
+        m_channel.send(sender, age_response { std::move(servers) });
+}
+
+void control_service::handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now)
+{
+    applyChanges(m_otherServers.apply(sender, message, now));
+}
+
+void control_service::applyChanges(directory_view::changes const& changes)
+{
+    auto const& view = m_otherServers.view();
+    for (auto const& id : changes.changed) {
+        if (auto const* const entry = view.directory().find(id))
+            m_feed.recordElsewhere(entry->announcement);
+    }
+    for (auto const& [token, liveness] : changes.renewed) {
+        auto const* const id = view.findId(token);
+        if (!id)
+            continue;
+        if (liveness.lease)
+            m_feed.release(*id);
+        else
+            m_feed.contradictLate(*id, liveness.lastSeenAt);
+    }
 }
 
 hello_response control_service::makeHelloResponse(host_role receiver, monotonic_time now) const
@@ -310,15 +406,15 @@
 
 void control_service::handle(ip_endpoint const& sender, directory_update const& message, monotonic_time now)
 {
-    m_otherServers.apply(sender, message, now);
+    applyChanges(m_otherServers.apply(sender, message, now));
 }
 
 directory_update control_service::allServers(monotonic_time now) const
 {
     auto update = m_feed.fullUpdate(now);
     update.scope = server_scope::All;
-    for (auto const& [id, entry] : m_otherServers.directory().entries())
-        update.records.push_back({ entry.announcement, now - entry.lastSeenAt });
+    for (auto const& [id, entry] : m_otherServers.view().directory().entries())
+        update.records.push_back({ entry.announcement, now - m_otherServers.view().livenessOf(id).latest() });
     return update;
 }
 
@@ -338,17 +434,31 @@
         return server_push::Done;
     auto const helloResponse = encodeFleetMessage(makeHelloResponse(host_role::Balancer, now));
     auto const& servers = encodedServers(now);
+    auto& pagedServers = pages(server_scope::All, now);
     // All control hosts may start together. Balancers request a large directory, so that only one of them sends it.
-    bool const isSmall = servers.size() <= maximumPushedBytes;
+    bool isComplete = true;
     for (auto const& host : balancers) {
         m_channel.sendEncoded(host.peer, m_encodedRoutes);
-        if (isSmall) {
+        bool const knowsLeases = host.protocol == directory_protocol::Leases;
+        bool const isSmall = knowsLeases
+            ? pagedServers.pageCount(host.zone, maximumPushedPages + 1) <= maximumPushedPages
+            : servers.size() <= maximumPushedBytes;
+        isComplete = isComplete && isSmall;
+        if (isSmall && knowsLeases) {
+            for (page_cursor cursor;;) {
+                m_channel.sendEncoded(host.peer, pagedServers.encodedPageAt(cursor, host.zone));
+                auto const page = pagedServers.pageAt(cursor, host.zone);
+                if (page.isLast)
+                    break;
+                cursor = page.next;
+            }
+        } else if (isSmall) {
             m_channel.sendEncoded(host.peer, servers);
             m_fullDirectorySentAt[{ host.peer, server_scope::All }] = now;
         }
         m_channel.sendEncoded(host.peer, helloResponse);
     }
-    return isSmall ? server_push::Done : server_push::Skipped;
+    return isComplete ? server_push::Done : server_push::Skipped;
 }
 
 void control_service::handle(ip_endpoint const& sender, hello_response const& message, monotonic_time now)
@@ -396,7 +506,7 @@
     bool const isStarting = now - m_startedAt < startupDuration;
     m_hostListRotation.beginRound(peers.size());
     for (auto const& peer : peers) {
-        auto const knownPosition = m_otherServers.positionOf(peer);
+        auto const knownPosition = m_otherServers.view().positionOf(peer);
         auto const listRequest = m_hostListRotation.next();
         m_channel.send(peer,
             hello_message { self(), m_routesVersion, knownPosition.epoch, knownPosition.revision,
@@ -404,19 +514,39 @@
     }
 }
 
+duration control_service::changeDelay() const
+{
+    return std::clamp<duration>(
+        changeDelayPerReceiver * static_cast<int64_t>(m_subscribers), minimumChangeDelay, maximumChangeDelay);
+}
+
 void control_service::publishDirectory(monotonic_time now)
 {
-    auto const interval = m_feed.hasChanges() ? changeBatchDelay : renewalInterval;
-    if (now - m_directoryPublishedAt < interval)
+    bool const isLeaseDue = now - m_leaseSentAt >= leaseInterval;
+    if (isLeaseDue) {
+        m_leaseSentAt = now;
+        m_feed.markLate(std::chrono::duration_cast<duration>(lateIntervals * m_settings.announcementInterval), now);
+    }
+    if (!isLeaseDue && (!m_feed.hasChanges() || now - m_directoryPublishedAt < changeDelay()))
         return;
     m_directoryPublishedAt = now;
-    auto const update = m_feed.drainChanges(now);
-    if (!update)
-        return;
-    auto const bytes = encodeFleetMessage(*update);
+    auto const changes = m_feed.drainChanges(now);
+    auto const renewals = m_feed.drainRenewals();
+    auto const update = changes ? *changes : m_feed.lease();
+    auto const bytes = encodeFleetMessage(update);
+    std::string bytesWithoutLease;
+    m_subscribers = 0;
     for (auto const role : { host_role::Balancer, host_role::Control }) {
-        for (auto const& host : m_hosts.list(role, now, subscriberTimeout))
-            m_channel.sendEncoded(host.peer, bytes);
+        for (auto const& host : m_hosts.list(role, now, subscriberTimeout)) {
+            ++m_subscribers;
+            if (host.protocol == directory_protocol::Leases) {
+                m_channel.sendEncoded(host.peer, bytes);
+                continue;
+            }
+            if (bytesWithoutLease.empty())
+                bytesWithoutLease = encodeFleetMessage(withoutLease(update, renewals));
+            m_channel.sendEncoded(host.peer, bytesWithoutLease);
+        }
     }
 }
 
@@ -476,7 +606,7 @@
     // Restored records count as old, so that any announcement of the server itself supersedes them.
     for (auto& record : update.records)
         record.age = backend_directory_settings().announcementTimeout;
-    m_otherServers.apply(self().peer, update, now);
+    applyChanges(m_otherServers.apply(self().peer, update, now));
     m_isDirectoryRestored = true;
 }
 
@@ -493,7 +623,7 @@
         m_savedHosts = bytes;
         m_group.saveFile(hostsFile, std::move(bytes));
     }
-    auto const revision = m_feed.revision() + m_otherServers.directory().revision();
+    auto const revision = m_feed.recordChanges() + m_otherServers.view().directory().revision();
     if (revision == m_savedRevision)
         return;
     m_savedRevision = revision;
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -2,7 +2,8 @@
 
 #include "consensus_group.h"
 #include "directory_feed.h"
-#include "directory_view.h"
+#include "directory_pages.h"
+#include "directory_subscription.h"
 #include "fleet_settings.h"
 #include "host_list_rotation.h"
 #include "known_hosts.h"
@@ -70,6 +71,10 @@
     void handle(ip_endpoint const& sender, control_envelope const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, join_request const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, directory_update const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, directory_request const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, age_request const& message, monotonic_time now);
+    void handle(ip_endpoint const&, age_response const&, monotonic_time) { }
     void handle(ip_endpoint const&, route_table const&, monotonic_time) { }
 
     void sendHellos(monotonic_time now);
@@ -87,6 +92,12 @@
     /// Sends the state saved by an earlier incarnation to all balancers that it knew.
     server_push pushSavedState(monotonic_time now);
     directory_update allServers(monotonic_time now) const;
+    /// @return A current copy of the directory in pages.
+    directory_pages& pages(server_scope scope, monotonic_time now);
+    /// Passes on to the own directory what other control hosts know about servers.
+    void applyChanges(directory_view::changes const& changes);
+    /// @return How long changes are collected before they are sent.
+    duration changeDelay() const;
     std::string const& encodedServers(monotonic_time now);
     void sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now);
     /// @return A response that lists all hosts that a receiver with this role needs.
@@ -112,7 +123,14 @@
     directory_feed m_feed;
     /// Servers reported by other control hosts or restored from an earlier incarnation of this one. Balancers normally
     /// receive them from those hosts; this copy serves a balancer that starts while they are down.
-    directory_view m_otherServers;
+    directory_subscription m_otherServers;
+    struct paged_directory {
+        directory_pages pages;
+        monotonic_time assignedAt;
+    };
+    std::map<server_scope, paged_directory> m_pages;
+    monotonic_time m_leaseSentAt;
+    size_t m_subscribers = 0;
     /// When a full directory was last sent to a host.
     std::map<std::pair<ip_endpoint, server_scope>, monotonic_time> m_fullDirectorySentAt;
     /// Cached encoded directory of all control hosts.
--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -4,75 +4,216 @@
 
 namespace bilberryyard {
 
+namespace {
+
+    // Two calls of markLate() that are further apart mean that this process was suspended or had no processor time.
+    constexpr duration maximumCheckGap = std::chrono::milliseconds(1'200);
+    constexpr int thresholdsAfterGap = 2;
+
+} // namespace
+
 directory_feed::directory_feed(backend_directory_settings const& settings, uint64_t epoch)
     : m_directory(settings)
     , m_epoch(epoch)
 {
 }
 
+bool directory_feed::isKnownElsewhere(backend_announcement const& announcement) const
+{
+    auto const known = m_elsewhere.find(announcement.id);
+    if (known == m_elsewhere.end())
+        return false;
+    auto comparable = announcement;
+    comparable.sequence = known->second.sequence;
+    comparable.remainingWarmUp = known->second.remainingWarmUp;
+    return comparable == known->second;
+}
+
 announcement_effect directory_feed::announce(backend_announcement const& announcement, monotonic_time now)
 {
     std::lock_guard const lock(m_mutex);
     auto const effect = m_directory.apply(announcement, now, now);
-    if (effect == announcement_effect::Renewed)
-        m_renewed.insert(flowToken(announcement.id));
+    if (effect == announcement_effect::Ignored)
+        return effect;
+    auto const token = flowToken(announcement.id);
+    auto& state = m_states[announcement.id];
+    m_idsByToken[token] = announcement.id;
+    bool const wasLate = state.isLate || state.isReleased;
+    state.isLate = state.isReleased = false;
+    m_renewed.insert(token);
+    if (effect == announcement_effect::Renewed) {
+        if (wasLate)
+            state.livenessRevision = m_directory.advanceRevision();
+        return effect;
+    }
+    ++m_recordChanges;
+    if (effect == announcement_effect::Added && isKnownElsewhere(announcement))
+        state.knownElsewhereRevision = state.livenessRevision = m_directory.find(announcement.id)->revision;
     return effect;
 }
 
+void directory_feed::markLate(duration threshold, monotonic_time now)
+{
+    std::lock_guard const lock(m_mutex);
+    if (now - m_lateCheckedAt > maximumCheckGap)
+        m_lateCheckResumesAt = now + thresholdsAfterGap * threshold;
+    m_lateCheckedAt = now;
+    if (now < m_lateCheckResumesAt)
+        return;
+    for (auto const& [id, entry] : m_directory.entries()) {
+        auto& state = m_states[id];
+        if (state.isLate || state.isReleased || entry.announcement.state == backend_state::Gone
+            || now - entry.lastSeenAt <= threshold)
+            continue;
+        state.isLate = true;
+        state.livenessRevision = m_directory.advanceRevision();
+    }
+}
+
+void directory_feed::recordElsewhere(backend_announcement const& announcement)
+{
+    std::lock_guard const lock(m_mutex);
+    m_elsewhere[announcement.id] = announcement;
+}
+
+void directory_feed::forgetElsewhere(std::string const& id)
+{
+    std::lock_guard const lock(m_mutex);
+    m_elsewhere.erase(id);
+}
+
+void directory_feed::release(std::string const& id)
+{
+    std::lock_guard const lock(m_mutex);
+    if (m_directory.find(id))
+        m_states[id].isReleased = true;
+}
+
+void directory_feed::contradictLate(std::string const& id, monotonic_time lastSeenAt)
+{
+    std::lock_guard const lock(m_mutex);
+    auto const* const entry = m_directory.find(id);
+    if (!entry || entry->announcement.state == backend_state::Gone || entry->lastSeenAt <= lastSeenAt)
+        return;
+    auto& state = m_states[id];
+    if (state.isLate)
+        return;
+    state.isReleased = false;
+    state.livenessRevision = m_directory.advanceRevision();
+}
+
 bool directory_feed::hasChanges() const
 {
     std::lock_guard const lock(m_mutex);
     return m_directory.revision() > m_sentRevision;
 }
 
-std::vector<aged_announcement> directory_feed::recordsAfter(uint64_t revision, monotonic_time now) const
+directory_update directory_feed::changesAfter(uint64_t revision, monotonic_time now) const
 {
-    std::vector<aged_announcement> records;
+    directory_update update { m_epoch, revision, m_directory.revision(), {}, {}, server_scope::Own, {},
+        lease_renewal::Yes };
     for (auto const& [id, entry] : m_directory.entries()) {
-        if (entry.revision > revision)
-            records.push_back({ entry.announcement, now - entry.lastSeenAt });
+        auto const known = m_states.find(id);
+        auto const state = known == m_states.end() ? server_state {} : known->second;
+        if (entry.revision > revision && entry.revision != state.knownElsewhereRevision)
+            update.records.push_back({ entry.announcement, now - entry.lastSeenAt });
+        if (state.livenessRevision <= revision || state.isReleased)
+            continue;
+        if (state.isLate)
+            update.late.push_back({ flowToken(id), now - entry.lastSeenAt });
+        else
+            update.renewed.push_back(flowToken(id));
     }
-    return records;
+    return update;
 }
 
 std::optional<directory_update> directory_feed::drainChanges(monotonic_time now)
 {
     std::lock_guard const lock(m_mutex);
-    if (m_directory.revision() == m_sentRevision && m_renewed.empty())
+    if (m_directory.revision() == m_sentRevision)
         return std::nullopt;
-    directory_update update { m_epoch, m_sentRevision, m_directory.revision(), recordsAfter(m_sentRevision, now),
-        { m_renewed.begin(), m_renewed.end() }, server_scope::Own };
+    auto update = changesAfter(m_sentRevision, now);
     m_sentRevision = m_directory.revision();
-    m_renewed.clear();
     return update;
 }
 
+std::vector<uint32_t> directory_feed::drainRenewals()
+{
+    std::lock_guard const lock(m_mutex);
+    std::vector<uint32_t> tokens(m_renewed.begin(), m_renewed.end());
+    m_renewed.clear();
+    return tokens;
+}
+
+directory_update directory_feed::lease() const
+{
+    std::lock_guard const lock(m_mutex);
+    return { m_epoch, m_sentRevision, m_sentRevision, {}, {}, server_scope::Own, {}, lease_renewal::Yes };
+}
+
 std::optional<directory_update> directory_feed::updateSince(uint64_t epoch, uint64_t revision, monotonic_time now) const
 {
     std::lock_guard const lock(m_mutex);
     auto const knownRevision = epoch == m_epoch ? revision : 0;
     if (epoch == m_epoch && knownRevision >= m_sentRevision)
         return std::nullopt;
-    return directory_update { m_epoch, knownRevision, m_directory.revision(), recordsAfter(knownRevision, now), {},
-        server_scope::Own };
+    auto update = changesAfter(knownRevision, now);
+    if (knownRevision > 0)
+        return update;
+    update.records.clear();
+    for (auto const& [id, entry] : m_directory.entries())
+        update.records.push_back({ entry.announcement, now - entry.lastSeenAt });
+    return update;
 }
 
 directory_update directory_feed::fullUpdate(monotonic_time now) const
 {
     std::lock_guard const lock(m_mutex);
-    return { m_epoch, 0, m_directory.revision(), recordsAfter(0, now), {}, server_scope::Own };
+    directory_update update { m_epoch, 0, m_directory.revision(), {}, {}, server_scope::Own, {}, lease_renewal::No };
+    for (auto const& [id, entry] : m_directory.entries())
+        update.records.push_back({ entry.announcement, now - entry.lastSeenAt });
+    return update;
 }
 
-uint64_t directory_feed::revision() const
+std::pair<std::vector<page_record>, uint64_t> directory_feed::records(monotonic_time now) const
 {
     std::lock_guard const lock(m_mutex);
-    return m_directory.revision();
+    std::vector<page_record> result;
+    result.reserve(m_directory.entries().size());
+    for (auto const& [id, entry] : m_directory.entries()) {
+        auto const known = m_states.find(id);
+        bool const isLate = known != m_states.end() && (known->second.isLate || known->second.isReleased);
+        result.push_back({ { entry.announcement, now - entry.lastSeenAt }, isLate, 0 });
+    }
+    return { std::move(result), m_sentRevision };
+}
+
+std::vector<server_age> directory_feed::agesOf(std::vector<uint32_t> const& tokens, monotonic_time now) const
+{
+    std::lock_guard const lock(m_mutex);
+    std::vector<server_age> result;
+    for (auto const token : tokens) {
+        auto const id = m_idsByToken.find(token);
+        auto const* const entry = id == m_idsByToken.end() ? nullptr : m_directory.find(id->second);
+        if (entry)
+            result.push_back({ token, now - entry->lastSeenAt });
+    }
+    return result;
+}
+
+uint64_t directory_feed::recordChanges() const
+{
+    std::lock_guard const lock(m_mutex);
+    return m_recordChanges;
 }
 
 void directory_feed::expire(monotonic_time now)
 {
     std::lock_guard const lock(m_mutex);
-    m_directory.expire(now);
+    for (auto const& id : m_directory.expire(now)) {
+        m_states.erase(id);
+        m_idsByToken.erase(flowToken(id));
+    }
 }
 
 } // namespace bilberryyard
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -5,48 +5,205 @@
 
 namespace bilberryyard {
 
-directory_view::changes directory_view::apply(
-    ip_endpoint const& sender, directory_update const& update, monotonic_time now)
+std::shared_ptr<announcer_lease> directory_view::leaseOf(announcer_feed& feed, uint64_t epoch)
 {
-    changes result;
-    for (auto const& record : update.records) {
-        auto const& id = record.announcement.id;
-        auto const lastSeenAt = now - record.age;
-        auto const effect = m_directory.apply(record.announcement, lastSeenAt, now);
-        m_idsByToken[flowToken(id)] = id;
-        if (effect == announcement_effect::Added || effect == announcement_effect::Changed)
-            result.changed.push_back(id);
-        else if (effect == announcement_effect::Renewed)
-            result.renewed.emplace_back(flowToken(id), lastSeenAt);
+    // An incarnation that has ended must not be renewed by its successor, which has not received the announcements of
+    // the same servers.
+    if (!feed.lease || feed.leaseEpoch != epoch) {
+        feed.lease = std::make_shared<announcer_lease>();
+        feed.leaseEpoch = epoch;
     }
+    return feed.lease;
+}
+
+void directory_view::refresh(std::string const& id)
+{
+    auto const server = m_servers.find(flowToken(id));
+    if (server != m_servers.end())
+        m_directory.renew(id, server->second.liveness().latest());
+}
+
+void directory_view::applyRecord(aged_announcement const& record, std::shared_ptr<announcer_lease> const& announcer,
+    bool isLate, monotonic_time now, changes& result)
+{
+    auto const& announcement = record.announcement;
+    auto const* const knownOwner = m_directory.ownerOf(announcement.address);
+    auto const previousOwner = knownOwner ? *knownOwner : std::string();
+    refresh(announcement.id);
+    refresh(previousOwner);
+    auto const lastSeenAt = now - record.age;
+    auto const effect = m_directory.apply(announcement, lastSeenAt, now);
+    auto const token = flowToken(announcement.id);
+    auto& server = m_servers[token];
+    bool const isKnown = !server.id.empty();
+    server.id = announcement.id;
+    if (effect == announcement_effect::Ignored && isKnown)
+        return;
+    server.announcer = announcer;
+    server.isLate = isLate;
+    server.lastSeenAt = lastSeenAt;
+    if (effect == announcement_effect::Added || effect == announcement_effect::Changed)
+        result.changed.push_back(announcement.id);
+    result.renewed.emplace_back(token, server.liveness());
+    if (effect == announcement_effect::Ignored || previousOwner.empty() || previousOwner == announcement.id)
+        return;
+    // The directory sets the earlier server at the address to Gone.
+    result.changed.push_back(previousOwner);
+}
+
+void directory_view::applyRenewals(
+    directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result)
+{
+    auto const announcer
+        = update.lease == lease_renewal::Yes ? leaseOf(feed, update.epoch) : std::shared_ptr<announcer_lease>();
     for (auto const token : update.renewed) {
-        auto const id = m_idsByToken.find(token);
-        if (id == m_idsByToken.end())
+        auto const server = m_servers.find(token);
+        if (server == m_servers.end()) {
+            // The sender sends no record since its peers have one. Only a full copy of its directory has it too.
+            if (announcer) {
+                result.isComplete = completeness::Gap;
+                feed.received = {};
+            }
             continue;
-        m_directory.renew(id->second, now);
-        result.renewed.emplace_back(token, now);
+        }
+        m_directory.renew(server->second.id, now);
+        server->second.announcer = announcer;
+        server->second.isLate = false;
+        server->second.lastSeenAt = now;
+        result.renewed.emplace_back(token, server->second.liveness());
     }
-    auto& knownPosition = m_positions[sender];
-    bool const continues = knownPosition.epoch == update.epoch && update.fromRevision <= knownPosition.revision;
+}
+
+void directory_view::applyLateServers(
+    directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result)
+{
+    for (auto const& late : update.late) {
+        auto const server = m_servers.find(late.token);
+        // A server that announces itself to another control host by now is not late.
+        if (server == m_servers.end() || server->second.announcer != leaseOf(feed, update.epoch))
+            continue;
+        server->second.isLate = true;
+        server->second.lastSeenAt = now - late.age;
+        result.renewed.emplace_back(late.token, server->second.liveness());
+    }
+}
+
+directory_view::changes directory_view::apply(
+    ip_endpoint const& sender, directory_update const& update, monotonic_time now)
+{
+    changes result;
+    auto& feed = m_feeds[sender];
+    bool const hasLease = update.lease == lease_renewal::Yes;
+    bool const continues = feed.received.epoch == update.epoch && update.fromRevision <= feed.received.revision;
+    if (hasLease && !continues && update.fromRevision > 0 && feed.leaseEpoch != update.epoch) {
+        // The first update that was received from this incarnation. A full copy of its directory follows.
+        result.isComplete = completeness::Gap;
+        return result;
+    }
+    auto const announcer = hasLease ? leaseOf(feed, update.epoch) : std::shared_ptr<announcer_lease>();
     if (continues)
-        knownPosition.revision = std::max(knownPosition.revision, update.toRevision);
+        feed.received.revision = std::max(feed.received.revision, update.toRevision);
     else if (update.fromRevision == 0)
-        knownPosition = { update.epoch, update.toRevision };
+        feed.received = { update.epoch, update.toRevision };
+    else if (hasLease)
+        result.isComplete = completeness::Gap;
+    for (auto const& record : update.records)
+        applyRecord(record, announcer, false, now, result);
+    applyRenewals(update, feed, now, result);
+    applyLateServers(update, feed, now, result);
+    // After a gap the lease could renew a server that the lost update reported as late.
+    if (hasLease && result.isComplete == completeness::Complete)
+        announcer->renewedAt = now;
     return result;
 }
 
+directory_view::changes directory_view::apply(ip_endpoint const& sender, directory_page const& page, monotonic_time now)
+{
+    changes result;
+    for (auto const& record : page.records) {
+        auto const& source = page.positions.at(record.announcer);
+        std::shared_ptr<announcer_lease> announcer;
+        if (source.epoch != 0) {
+            auto& feed = m_feeds[source.announcer];
+            // If the control host itself has sent updates in another epoch, the sender of the page may not know it yet.
+            bool const isOutdated
+                = source.announcer != sender && feed.received.epoch != 0 && feed.received.epoch != source.epoch;
+            announcer = isOutdated ? nullptr : leaseOf(feed, source.epoch);
+        }
+        applyRecord(record.server, announcer, record.isLate, now, result);
+    }
+    return result;
+}
+
+void directory_view::setPosition(feed_position const& received)
+{
+    auto& feed = m_feeds[received.announcer];
+    if (feed.received.epoch == received.epoch)
+        feed.received.revision = std::max(feed.received.revision, received.revision);
+    else
+        feed.received = { received.epoch, received.revision };
+}
+
+void directory_view::setForwardedPosition(feed_position const& received)
+{
+    auto const current = positionOf(received.announcer);
+    // Revision 0 means that the sender itself has not received the directory.
+    if (received.epoch == 0 || received.revision == 0 || (current.epoch != 0 && current.epoch != received.epoch))
+        return;
+    setPosition(received);
+}
+
 std::vector<std::string> directory_view::expire(monotonic_time now)
 {
+    for (auto const& [token, server] : m_servers)
+        m_directory.renew(server.id, server.liveness().latest());
     auto removedIds = m_directory.expire(now);
     for (auto const& id : removedIds)
-        m_idsByToken.erase(flowToken(id));
+        m_servers.erase(flowToken(id));
     return removedIds;
 }
 
 directory_view::position directory_view::positionOf(ip_endpoint const& sender) const
 {
-    auto const knownPosition = m_positions.find(sender);
-    return knownPosition == m_positions.end() ? position {} : knownPosition->second;
+    auto const feed = m_feeds.find(sender);
+    return feed == m_feeds.end() ? position {} : feed->second.received;
+}
+
+server_liveness directory_view::livenessOf(std::string const& id) const
+{
+    auto const server = m_servers.find(flowToken(id));
+    return server == m_servers.end() ? server_liveness {} : server->second.liveness();
+}
+
+std::string const* directory_view::findId(uint32_t token) const
+{
+    auto const server = m_servers.find(token);
+    return server == m_servers.end() ? nullptr : &server->second.id;
+}
+
+std::vector<page_record> directory_view::records(std::vector<feed_position>& positions, monotonic_time now) const
+{
+    std::map<announcer_lease const*, uint32_t> indices;
+    for (auto const& [peer, feed] : m_feeds) {
+        if (!feed.lease)
+            continue;
+        // Without a position of its own, a receiver would wait for changes that this host has not received.
+        bool const isCurrent = feed.received.epoch == feed.leaseEpoch;
+        indices[feed.lease.get()] = static_cast<uint32_t>(positions.size());
+        positions.push_back({ peer, feed.leaseEpoch, isCurrent ? feed.received.revision : 0 });
+    }
+    auto const unknownAnnouncer = static_cast<uint32_t>(positions.size());
+    positions.emplace_back();
+    std::vector<page_record> result;
+    result.reserve(m_directory.entries().size());
+    for (auto const& [id, entry] : m_directory.entries()) {
+        auto const server = m_servers.find(flowToken(id));
+        auto const& liveness = server->second.liveness();
+        auto const index = indices.find(server->second.announcer.get());
+        result.push_back({ { entry.announcement, now - liveness.latest() }, server->second.isLate,
+            index == indices.end() ? unknownAnnouncer : index->second });
+    }
+    return result;
 }
 
 } // namespace bilberryyard
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -2,6 +2,7 @@
 
 #include <Fleet/fleet_message.h>
 #include <Membership/backend_directory.h>
+#include <Membership/server_liveness.h>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -19,28 +20,77 @@
         auto operator<=>(position const&) const = default;
     };
 
+    /// Whether all changes up to an update have been received.
+    enum class completeness : uint8_t {
+        Complete,
+        /// An earlier update was lost, so the sender has to be asked for the changes since its position.
+        Gap,
+    };
+
     /// What an update changed.
     struct changes {
         /// Identifiers of servers that were added or changed by more than a renewal.
         std::vector<std::string> changed;
-        /// Flow tokens of servers whose announcements were renewed, and when they were last seen.
-        std::vector<std::pair<uint32_t, monotonic_time>> renewed;
+        /// Flow tokens of servers whose liveness changed by more than the renewal of a lease.
+        std::vector<std::pair<uint32_t, server_liveness>> renewed;
+        completeness isComplete = completeness::Complete;
     };
 
     /// Merges an update from the control host `sender`.
     changes apply(ip_endpoint const& sender, directory_update const& update, monotonic_time now);
 
+    /// Merges a page that the control host `sender` sent. The positions of a directory that is sent in pages are set
+    /// after the last one.
+    changes apply(ip_endpoint const& sender, directory_page const& page, monotonic_time now);
+
+    /// Records that the directory of a control host has been received from it up to this position.
+    void setPosition(feed_position const& received);
+    /// The same for a directory that another host has sent. It does not replace the position in another epoch, because
+    /// that other host may not know the current one yet.
+    void setForwardedPosition(feed_position const& received);
+
     /// Removes expired entries.
     /// @return The identifiers of the removed servers.
     std::vector<std::string> expire(monotonic_time now);
 
     position positionOf(ip_endpoint const& sender) const;
+    /// @return When the server was last known to be alive; an empty value for an unknown one.
+    server_liveness livenessOf(std::string const& id) const;
+    /// @return Identifier of the server with the flow token, or nullptr.
+    std::string const* findId(uint32_t token) const;
     backend_directory const& directory() const { return m_directory; }
 
+    /// @return All servers for a directory page. Their announcers are added to `positions`.
+    std::vector<page_record> records(std::vector<feed_position>& positions, monotonic_time now) const;
+
 private:
+    struct announcer_feed {
+        position received;
+        /// Lease of the incarnation with the epoch of `leaseEpoch`.
+        std::shared_ptr<announcer_lease> lease;
+        uint64_t leaseEpoch = 0;
+    };
+    struct tracked_server {
+        std::string id;
+        /// Lease of the control host that the server announces itself to; null for one that sends no leases.
+        std::shared_ptr<announcer_lease> announcer;
+        bool isLate = false;
+        monotonic_time lastSeenAt;
+
+        server_liveness liveness() const { return { lastSeenAt, isLate ? nullptr : announcer }; }
+    };
+
+    static std::shared_ptr<announcer_lease> leaseOf(announcer_feed& feed, uint64_t epoch);
+    void applyRecord(aged_announcement const& record, std::shared_ptr<announcer_lease> const& announcer, bool isLate,
+        monotonic_time now, changes& result);
+    void applyRenewals(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
+    void applyLateServers(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
+    /// Updates the directory's own time of a server, so that its timeouts count from the latest lease.
+    void refresh(std::string const& id);
+
     backend_directory m_directory;
-    std::map<ip_endpoint, position> m_positions;
-    std::unordered_map<uint32_t, std::string> m_idsByToken;
+    std::map<ip_endpoint, announcer_feed> m_feeds;
+    std::unordered_map<uint32_t, tracked_server> m_servers;
 };
 
 } // namespace bilberryyard
--- a/Tests/Fleet/test_fleet_codec.cpp
+++ b/Tests/Fleet/test_fleet_codec.cpp
@@ -31,6 +31,18 @@
     return table;
 }
 
+directory_page samplePage()
+{
+    directory_page page;
+    page.scope = server_scope::All;
+    page.positions = { { host.peer, 99, 12 }, { host.peer, 0, 0 } };
+    page.records = { { sampleRecord(), true, 1 }, { sampleRecord(), false, 0 } };
+    page.cursor = { page_cursor::pass::OwnZone, "i-7000" };
+    page.next = { page_cursor::pass::OtherZones, "i-7f3a" };
+    page.isLast = true;
+    return page;
+}
+
 struct message_row {
     char const* name;
     fleet_message message;
@@ -43,6 +55,14 @@
         hello_message { host, 7, 99, 12, host_list::Requested, server_scope::All } },
     { "hello response", hello_response { { host, host }, 7, milliseconds(9'000), true } },
     { "directory update", directory_update { 99, 3, 12, { sampleRecord() }, { 1, 0xffffffff } } },
+    { "lease with late servers",
+        directory_update {
+            99, 12, 14, {}, { 7 }, server_scope::Own, { { 3, milliseconds(1'500) } }, lease_renewal::Yes } },
+    { "directory request",
+        directory_request { server_scope::All, "a", 99, 12, { page_cursor::pass::OtherZones, "i-7f3a" } } },
+    { "directory page", samplePage() },
+    { "age request", age_request { { 1, 0xffffffff } } },
+    { "age response", age_response { { { 1, milliseconds(40) }, { 0xffffffff, milliseconds(0) } } } },
     { "routes", sampleRoutes() },
     { "consensus message", control_envelope { std::string("\0\x01\xff", 3) } },
     { "join request", join_request { host, 0x1234567890 } },
@@ -76,12 +96,20 @@
     return encodeFleetMessage(table);
 }
 
+std::string withUnknownAnnouncer()
+{
+    auto page = samplePage();
+    page.records[0].announcer = 2;
+    return encodeFleetMessage(page);
+}
+
 refused_row const refusedRows[] = {
     { "empty", "" },
     { "not a protobuf message", "\xff\xff\xff" },
     { "truncated", encodeFleetMessage(sampleRoutes()).substr(0, 20) },
     { "unknown state", withUnknownState() },
     { "route to a service that is not in the table", withUnknownService() },
+    { "page with a record of an unknown control host", withUnknownAnnouncer() },
 };
 
 BOOST_DATA_TEST_CASE(invalid_message_is_rejected, refusedRows, row)
--- a/Tests/Placement/test_load_patterns.cpp
+++ b/Tests/Placement/test_load_patterns.cpp
@@ -125,6 +125,56 @@
     BOOST_CHECK(reset == row.reset);
 }
 
+struct lease_row {
+    char const* name;
+    /// What a control host reports on request about the server that does not respond: the time since its last
+    /// announcement in milliseconds; nullopt if no report arrives.
+    std::optional<int> reportedAge;
+    /// Age of the control host's lease in milliseconds.
+    int leaseAge;
+    std::optional<reset_reason> reset;
+};
+std::ostream& operator<<(std::ostream& stream, lease_row const& row) { return stream << row.name; }
+
+lease_row const leaseRows[] = {
+    { "announced itself since", 100, 0, std::nullopt },
+    { "no announcement since", 900, 0, reset_reason::ServerUnresponsive },
+    { "no report yet", std::nullopt, 0, std::nullopt },
+    { "control host is silent as well", std::nullopt, 5'000, reset_reason::ServerUnresponsive },
+};
+
+// Crash of a server whose control host confirms all its servers with one lease: the lease alone neither saves the
+// server nor condemns it; a report of its last announcement decides.
+BOOST_DATA_TEST_CASE(lease_is_checked_before_flows_of_an_unresponsive_server_are_reset, leaseRows, row)
+{
+    placement_fixture fixture;
+    fixture.announce(1);
+    auto const token = fixture.openEstablished(20'000);
+    for (uint16_t caller = 20'001; caller < 20'004; ++caller)
+        fixture.openEstablished(caller);
+    for (int number = 2; number <= 4; ++number)
+        fixture.announce(number);
+    auto const lastSeenAt = fixture.now;
+    fixture.advance(1'000);
+    auto const lease = std::make_shared<announcer_lease>();
+    fixture.router.pool().setLiveness(token, { lastSeenAt, lease });
+    for (uint16_t caller = 20'000; caller < 20'004; ++caller)
+        fixture.request(caller, token);
+    std::optional<reset_reason> reset;
+    for (int repeat = 0; repeat < 3; ++repeat) {
+        fixture.advance(200);
+        lease->renewedAt = fixture.now - std::chrono::milliseconds(row.leaseAge);
+        for (uint16_t caller = 20'000; caller < 20'004 && !reset; ++caller)
+            reset = placement_fixture::resetOf(fixture.request(caller, token));
+        auto const suspects = fixture.router.pool().drainSuspects();
+        BOOST_TEST((suspects == std::vector { token } || reset.has_value()));
+        if (row.reportedAge)
+            fixture.router.pool().recordAnnouncement(
+                token, fixture.now - std::chrono::milliseconds(*row.reportedAge), fixture.now);
+    }
+    BOOST_CHECK(reset == row.reset);
+}
+
 // Queue at a running server: no flow is reset while the server responds to some callers or a control host still
 // receives its announcements.
 BOOST_AUTO_TEST_CASE(busy_server_that_still_responds_keeps_its_flows)
