Fleet: Send routes as differences and directories on request

A starting balancer received the whole routes from each of five control hosts, unrequested, and logged a line for each of 3,000 servers. It now requests the routes of one host, and logs pages. Control hosts respond to page requests until they cease before they open the log, which blocks them.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -28,6 +28,8 @@
         events::hostHeard,
         events::hostSilent,
         events::readinessChanged,
+        events::directoryPageReceived,
+        events::serversLate,
         events::configurationInForce,
         events::configurationRefused,
         events::configurationNotSaved,
--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -97,6 +97,7 @@
         hello.set_directory_revision(message.directoryRevision);
         hello.set_wants_hosts(message.hosts == host_list::Requested);
         hello.set_wants_all_servers(message.servers == server_scope::All);
+        hello.set_wants_routes(message.routes == route_request::Requested);
     }
 
     void write(wire::FleetMessage& target, hello_response const& message)
@@ -223,9 +224,8 @@
         page.set_last(message.isLast);
     }
 
-    void write(wire::FleetMessage& target, route_table const& message)
+    void write(wire::RouteUpdate& update, route_table const& message)
     {
-        auto& update = *target.mutable_routes();
         update.set_version(message.version);
         update.set_idle_timeout_ms(toMilliseconds(message.idleTimeout));
         for (auto const& service : message.services) {
@@ -247,6 +247,19 @@
         }
     }
 
+    void write(wire::FleetMessage& target, route_table const& message) { write(*target.mutable_routes(), message); }
+
+    void write(wire::FleetMessage& target, route_difference const& message)
+    {
+        auto& difference = *target.mutable_route_difference();
+        difference.set_from_version(message.fromVersion);
+        write(*difference.mutable_changes(), message.changes);
+        for (auto const& address : message.removed) {
+            difference.add_removed_addresses(address.address.toIpv4());
+            difference.add_removed_ports(address.port);
+        }
+    }
+
     void write(wire::FleetMessage& target, control_envelope const& message) { target.set_control(message.bytes); }
 
     void write(wire::FleetMessage& target, join_request const& message)
@@ -262,7 +275,8 @@
             return host.status();
         return hello_message { *std::move(host), source.configuration_version(), source.directory_epoch(),
             source.directory_revision(), source.wants_hosts() ? host_list::Requested : host_list::NotRequested,
-            source.wants_all_servers() ? server_scope::All : server_scope::Own };
+            source.wants_all_servers() ? server_scope::All : server_scope::Own,
+            source.wants_routes() ? route_request::Requested : route_request::NotRequested };
     }
 
     absl::StatusOr<fleet_message> read(wire::Welcome const& source)
@@ -395,7 +409,7 @@
         return route;
     }
 
-    absl::StatusOr<fleet_message> read(wire::RouteUpdate const& source)
+    absl::StatusOr<route_table> read(wire::RouteUpdate const& source)
     {
         if (source.services_size() != source.maximum_connections_size())
             return makeError(
@@ -417,6 +431,23 @@
         return result;
     }
 
+    absl::StatusOr<fleet_message> read(wire::RouteDifference const& source)
+    {
+        if (source.removed_addresses_size() != source.removed_ports_size())
+            return makeError(error_kind::InvalidArgument, "the numbers of removed addresses and ports differ");
+        auto changes = read(source.changes());
+        if (!changes.ok())
+            return changes.status();
+        route_difference result { source.from_version(), *std::move(changes), {} };
+        for (int index = 0; index < source.removed_addresses_size(); ++index) {
+            auto const port = toPort(source.removed_ports(index));
+            if (!port.ok())
+                return port.status();
+            result.removed.push_back({ ip_address::fromIpv4(source.removed_addresses(index)), *port });
+        }
+        return result;
+    }
+
 } // namespace
 
 std::string encodeFleetMessage(fleet_message const& message)
@@ -447,7 +478,12 @@
     case wire::FleetMessage::kAgeResponse:
         return read(source.age_response());
     case wire::FleetMessage::kRoutes:
-        return read(source.routes());
+        if (auto routes = read(source.routes()); routes.ok())
+            return *std::move(routes);
+        else
+            return routes.status();
+    case wire::FleetMessage::kRouteDifference:
+        return read(source.route_difference());
     case wire::FleetMessage::kControl:
         return control_envelope { source.control() };
     case wire::FleetMessage::kJoin: {
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Membership/backend_announcement.h>
+#include <Placement/route_difference.h>
 #include <Placement/route_table.h>
 #include <compare>
 #include <cstdint>
@@ -45,6 +46,12 @@
     Requested,
 };
 
+/// Whether a hello message requests the receiver's routes if they are newer than those of its sender.
+enum class route_request : uint8_t {
+    NotRequested,
+    Requested,
+};
+
 /// Which servers a hello message requests from a control host, or a directory update contains.
 enum class server_scope : uint8_t {
     /// Those that announce themselves to the control host.
@@ -62,6 +69,7 @@
     uint64_t directoryRevision = 0;
     host_list hosts = host_list::NotRequested;
     server_scope servers = server_scope::Own;
+    route_request routes = route_request::NotRequested;
     auto operator<=>(hello_message const&) const = default;
 };
 
@@ -200,6 +208,6 @@
 };
 
 using fleet_message = std::variant<hello_message, hello_response, directory_update, route_table, control_envelope,
-    join_request, directory_request, directory_page, age_request, age_response>;
+    join_request, directory_request, directory_page, age_request, age_response, route_difference>;
 
 } // namespace bilberryyard
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -10,13 +10,19 @@
 namespace {
 
     constexpr duration helloInterval = std::chrono::milliseconds(700);
-    // Until the balancer is ready.
+    // Until a control host has responded.
     constexpr duration startupHelloInterval = std::chrono::milliseconds(150);
+    // From then on until the balancer is ready. Hundreds of balancers may start together.
+    constexpr duration unreadyHelloInterval = std::chrono::milliseconds(300);
+    // Several control hosts may report the same newer version of the routes.
+    constexpr duration routeRequestInterval = std::chrono::milliseconds(100);
     // A control host needs this long to send 300 KB to a few hundred balancers that started together.
     constexpr duration serverRequestInterval = std::chrono::milliseconds(300);
     // Three hello messages without a response.
     constexpr duration unresponsiveTimeout = std::chrono::milliseconds(2'200);
     constexpr duration hostExpiry = std::chrono::seconds(60);
+    // Limits the length of a log line when many servers stop together.
+    constexpr size_t maximumListedServers = 16;
     // Expiry visits all servers; those that have left are kept for minutes.
     constexpr duration expiryInterval = std::chrono::seconds(5);
 
@@ -74,6 +80,8 @@
     link.completeAt = now - message.uptime + 2 * m_settings.announcementInterval;
     // A control host that has just started sends a hello response unrequested, before the next hello message is due.
     requestServers(sender, now);
+    if (message.configurationVersion > m_router.version())
+        requestRoutes(sender, now);
     requestPage(now);
 }
 
@@ -82,14 +90,21 @@
     auto& link = m_links[sender];
     link.lastSeenAt = now;
     link.hasAllServers = link.hasAllServers || message.scope == server_scope::All;
-    applyChanges(sender, m_directory.apply(sender, message, now), now);
+    auto const changes = m_directory.apply(sender, message, now);
+    applyChanges(sender, changes, server_lines::Logged, now);
+    if (!message.late.empty())
+        logLateServers(sender, changes, now);
 }
 
 void balancer_control::handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now)
 {
     auto& link = m_links[sender];
     link.lastSeenAt = now;
-    applyChanges(sender, m_directory.apply(sender, message, now), now);
+    applyChanges(sender, m_directory.apply(sender, message, now), server_lines::Omitted, now);
+    m_logger.emit(events::directoryPageReceived,
+        "records=" + std::to_string(message.records.size()) + " scope="
+            + (message.scope == server_scope::All ? "all" : "own") + " last=" + (message.isLast ? "yes" : "no")
+            + " servers=" + std::to_string(m_router.pool().size()) + " from=" + link.name);
     if (message.scope != server_scope::All || !m_fetch.accept(message))
         return;
     if (!m_fetch.isComplete())
@@ -105,13 +120,15 @@
 }
 
 void balancer_control::applyChanges(
-    ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now)
+    ip_endpoint const& sender, directory_view::changes const& changes, server_lines lines, monotonic_time now)
 {
     for (auto const& id : changes.changed) {
         auto const* const entry = m_directory.view().directory().find(id);
         if (!entry)
             continue;
         m_router.pool().update(*entry, now);
+        if (lines == server_lines::Omitted)
+            continue;
         auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry->lastSeenAt);
         m_logger.emit(events::serverAnnounced,
             "server=" + id + " service=" + entry->announcement.service
@@ -123,15 +140,60 @@
         m_router.pool().setLiveness(token, liveness);
 }
 
-void balancer_control::handle(ip_endpoint const& sender, route_table const& message, monotonic_time now)
+void balancer_control::logLateServers(
+    ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now)
+{
+    size_t lateCount = 0;
+    std::string late;
+    for (auto const& [token, liveness] : changes.renewed) {
+        auto const* const id = m_directory.view().findId(token);
+        if (liveness.lease || !id)
+            continue;
+        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now - liveness.lastSeenAt);
+        if (lateCount++ < maximumListedServers)
+            late += (late.empty() ? "" : ",") + *id + ":" + std::to_string(age.count());
+    }
+    if (lateCount > 0)
+        m_logger.emit(events::serversLate,
+            "count=" + std::to_string(lateCount) + " late_ms=" + late + " from=" + m_links[sender].name);
+}
+
+void balancer_control::setRoutes(ip_endpoint const& sender, route_table table)
 {
-    m_links[sender].lastSeenAt = now;
     auto const previousVersion = m_router.version();
-    if (!m_router.setRoutes(std::make_shared<route_table const>(message)))
+    auto const version = table.version;
+    auto const count = table.routes.size();
+    if (!m_router.setRoutes(std::make_shared<route_table const>(std::move(table))))
         return;
     m_logger.emit(events::configurationInForce,
-        "version=" + std::to_string(message.version) + " before=" + std::to_string(previousVersion)
-            + " routes=" + std::to_string(message.routes.size()) + " from=" + m_links[sender].name);
+        "version=" + std::to_string(version) + " before=" + std::to_string(previousVersion)
+            + " routes=" + std::to_string(count) + " from=" + m_links[sender].name);
+}
+
+void balancer_control::handle(ip_endpoint const& sender, route_table const& message, monotonic_time now)
+{
+    m_links[sender].lastSeenAt = now;
+    setRoutes(sender, message);
+}
+
+void balancer_control::handle(ip_endpoint const& sender, route_difference const& message, monotonic_time now)
+{
+    m_links[sender].lastSeenAt = now;
+    if (message.changes.version <= m_router.version())
+        return;
+    auto table = m_router.routes() ? applyRouteDifference(*m_router.routes(), message) : std::nullopt;
+    if (table)
+        setRoutes(sender, *std::move(table));
+    else
+        requestRoutes(sender, now);
+}
+
+void balancer_control::requestRoutes(ip_endpoint const& peer, monotonic_time now)
+{
+    if (m_links[peer].protocol != directory_protocol::Leases || now - m_routesRequestedAt < routeRequestInterval)
+        return;
+    m_routesRequestedAt = now;
+    sendHello(peer, host_list::NotRequested, server_scope::Own, route_request::Requested);
 }
 
 void balancer_control::sendHello(monotonic_time now)
@@ -144,17 +206,18 @@
         auto const hosts = isReady() ? listRequest : host_list::Requested;
         // Full directories are large, and all control hosts would send the same servers.
         bool const requestsAllServers = !m_hasDirectory && listRequest == host_list::Requested;
-        sendHello(peer, hosts, requestsAllServers ? server_scope::All : server_scope::Own);
+        sendHello(peer, hosts, requestsAllServers ? server_scope::All : server_scope::Own, route_request::NotRequested);
     }
 }
 
-void balancer_control::sendHello(ip_endpoint const& peer, host_list hosts, server_scope servers)
+void balancer_control::sendHello(ip_endpoint const& peer, host_list hosts, server_scope servers, route_request routes)
 {
     fleet_host const self { { m_settings.address, m_settings.peerPort }, host_role::Balancer, m_settings.zone,
         m_settings.name, 0, {} };
     auto const knownPosition = m_directory.view().positionOf(peer);
-    m_channel.send(
-        peer, hello_message { self, m_router.version(), knownPosition.epoch, knownPosition.revision, hosts, servers });
+    m_channel.send(peer,
+        hello_message {
+            self, m_router.version(), knownPosition.epoch, knownPosition.revision, hosts, servers, routes });
 }
 
 void balancer_control::requestServers(ip_endpoint const& peer, monotonic_time now)
@@ -164,7 +227,7 @@
         || now - m_serversRequestedAt < serverRequestInterval)
         return;
     m_serversRequestedAt = now;
-    sendHello(peer, host_list::NotRequested, server_scope::All);
+    sendHello(peer, host_list::NotRequested, server_scope::All, route_request::NotRequested);
 }
 
 ip_endpoint const* balancer_control::choosePageSource(monotonic_time now) const
@@ -259,7 +322,7 @@
     sendAgeRequests(now);
     m_directory.step(now);
     requestPage(now);
-    if (now < m_helloSentAt + (isReady() ? helloInterval : startupHelloInterval))
+    if (now < m_helloSentAt + helloPeriod(now))
         return;
     sendHello(now);
     expireLinks(now);
@@ -283,10 +346,19 @@
     m_router.pool().setDirectoryHealth(isComplete ? directory_health::Current : directory_health::Stale);
 }
 
-monotonic_time balancer_control::nextDeadline() const
+duration balancer_control::helloPeriod(monotonic_time now) const
+{
+    if (isReady())
+        return helloInterval;
+    return reachableControlCount(now) > 0 ? unreadyHelloInterval : startupHelloInterval;
+}
+
+monotonic_time balancer_control::nextDeadline(monotonic_time now) const
 {
-    auto const helloAt = m_helloSentAt + (isReady() ? helloInterval : startupHelloInterval);
-    return std::min(helloAt, m_directory.nextDeadline());
+    auto deadline = std::min(m_helloSentAt + helloPeriod(now), m_directory.nextDeadline());
+    if (!m_hasDirectory && !m_fetch.isComplete() && m_fetch.requestsSincePage() > 0)
+        deadline = std::min(deadline, m_fetch.nextRequestAt());
+    return deadline;
 }
 
 } // namespace bilberryyard
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -31,7 +31,7 @@
     void updateReadiness(monotonic_time now);
 
     /// @return When to call step() next.
-    monotonic_time nextDeadline() const;
+    monotonic_time nextDeadline(monotonic_time now) const;
 
     void setSeeds(std::vector<ip_endpoint> const& seeds);
 
@@ -57,6 +57,7 @@
     void handle(ip_endpoint const& sender, hello_response const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, directory_update const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, route_table const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, route_difference const& message, monotonic_time now);
     void handle(ip_endpoint const&, hello_message const&, monotonic_time) { }
     void handle(ip_endpoint const&, control_envelope const&, monotonic_time) { }
     void handle(ip_endpoint const&, join_request const&, monotonic_time) { }
@@ -65,7 +66,11 @@
     void handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, age_response const& message, monotonic_time now);
     void sendHello(monotonic_time now);
-    void sendHello(ip_endpoint const& peer, host_list hosts, server_scope servers);
+    void sendHello(ip_endpoint const& peer, host_list hosts, server_scope servers, route_request routes);
+    duration helloPeriod(monotonic_time now) const;
+    /// Requests the routes of a control host that has a newer version of them.
+    void requestRoutes(ip_endpoint const& peer, monotonic_time now);
+    void setRoutes(ip_endpoint const& sender, route_table table);
     /// Requests all servers from a reachable control host if no directory is known yet.
     void requestServers(ip_endpoint const& peer, monotonic_time now);
     /// Requests the next page of all servers until they have been received once.
@@ -75,7 +80,14 @@
     bool isReachable(control_link const& link, monotonic_time now) const;
     /// @return Whether the control host has had time to receive an announcement of every server, or has restored them.
     static bool isUsable(control_link const& link, monotonic_time now);
-    void applyChanges(ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now);
+    /// Whether each changed server is logged. A page is logged as a whole.
+    enum class server_lines : uint8_t {
+        Omitted,
+        Logged,
+    };
+    void applyChanges(
+        ip_endpoint const& sender, directory_view::changes const& changes, server_lines lines, monotonic_time now);
+    void logLateServers(ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now);
     void sendAgeRequests(monotonic_time now);
     void expireLinks(monotonic_time now);
 
@@ -94,6 +106,7 @@
     monotonic_time m_startedAt;
     monotonic_time m_helloSentAt;
     monotonic_time m_serversRequestedAt;
+    monotonic_time m_routesRequestedAt;
 };
 
 } // namespace bilberryyard
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -169,7 +169,7 @@
 template <packet_format Format>
 void balancer_service<Format>::wait(monotonic_time now)
 {
-    auto deadline = std::min(m_control.nextDeadline(), m_sweptAt + sweepInterval);
+    auto deadline = std::min(m_control.nextDeadline(now), m_sweptAt + sweepInterval);
     bool const readsPackets = mayReadPackets(now);
     if (!readsPackets)
         deadline = std::min(deadline, m_startedAt + initialPacketDelay);
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -51,6 +51,11 @@
     constexpr size_t maximumPushedBytes = size_t { 64 } * 1024;
     // Time to respond to balancers before opening the log, which blocks for about 200 ms on a small host.
     constexpr duration startupResponseWindow = std::chrono::milliseconds(150);
+    // The time grows while hundreds of balancers fetch a large directory: a page is requested at least this often.
+    constexpr duration pageRequestGap = std::chrono::milliseconds(60);
+    constexpr duration maximumResponseWindow = std::chrono::milliseconds(800);
+    // Limits log lines about announcements; after a restart thousands of servers announce themselves within a second.
+    constexpr uint32_t announcementLinesPerSecond = 200;
     // An encoded directory is reused for hosts that start together. The ages in it are off by up to this much.
     constexpr duration encodedServersLifetime = std::chrono::milliseconds(100);
     // Updates are no longer sent to a host that was last seen longer ago than this. Hosts send a hello message every
@@ -111,6 +116,7 @@
     , m_channel(std::move(channel))
     , m_wake(std::move(wake))
     , m_startedAt(bootTime())
+    , m_announcementLines(announcementLinesPerSecond)
     , m_hosts({ settings.address, settings.peerPort })
     , m_feed({}, randomNonZeroEpoch())
     , m_otherServers(settings.zone,
@@ -134,12 +140,15 @@
     auto const effect = m_feed.announce(announcement, bootTime());
     m_metrics.counter("announcements_total").add();
     if (effect == announcement_effect::Added || effect == announcement_effect::Changed) {
+        m_wake.raise();
+        std::lock_guard const lock(m_announcementLinesMutex);
+        if (!m_announcementLines.tryAcquire(bootTime()))
+            return effect;
         m_logger.emit(events::serverAnnounced,
             "server=" + announcement.id + " service=" + announcement.service
                 + " state=" + std::to_string(static_cast<int>(announcement.state)) + " started="
                 + std::to_string(announcement.startedAtMs) + " sequence=" + std::to_string(announcement.sequence)
                 + " outcome=" + (effect == announcement_effect::Added ? "added" : "changed"));
-        m_wake.raise();
     }
     return effect;
 }
@@ -195,15 +204,8 @@
 void control_service::run(std::function<bool()> const& isStopping)
 {
     restoreSavedState(bootTime());
-    if (pushSavedState(bootTime()) == server_push::Skipped) {
-        for (auto const responseEnd = bootTime() + startupResponseWindow; bootTime() < responseEnd && !isStopping();) {
-            publishDirectory(bootTime());
-            if (bootTime() - m_helloSentAt >= helloInterval)
-                sendHellos(bootTime());
-            wait(bootTime());
-            receive();
-        }
-    }
+    if (pushSavedState(bootTime()) == server_push::Skipped)
+        serveStartingBalancers(isStopping);
     m_group.start(bootTime());
     while (!isStopping())
         step();
@@ -214,6 +216,20 @@
         step();
 }
 
+void control_service::serveStartingBalancers(std::function<bool()> const& isStopping)
+{
+    auto const startedAt = bootTime();
+    auto end = startedAt + startupResponseWindow;
+    while (bootTime() < end && !isStopping()) {
+        publishDirectory(bootTime());
+        if (bootTime() - m_helloSentAt >= helloInterval)
+            sendHellos(bootTime());
+        wait(bootTime());
+        receive();
+        end = std::min(std::max(end, m_pageSentAt + pageRequestGap), startedAt + maximumResponseWindow);
+    }
+}
+
 void control_service::step()
 {
     auto const now = bootTime();
@@ -236,6 +252,9 @@
         saveState(now);
         readSeeds();
         updateMetrics();
+        std::lock_guard const lock(m_announcementLinesMutex);
+        if (auto const count = m_announcementLines.drainSuppressedCount(); count > 0)
+            m_logger.emit(events::linesSuppressed, "count=" + std::to_string(count));
     }
     if (now - m_flushedAt >= flushInterval) {
         m_flushedAt = now;
@@ -288,12 +307,23 @@
         message.hosts == host_list::Requested ? makeHelloResponse(host.role, now) : makeSelfOnlyHelloResponse(now));
     if (host.protocol == directory_protocol::Renewals)
         sendMissingServers(sender, message, now);
-    if (host.role != host_role::Balancer)
+    if (host.role == host_role::Balancer)
+        sendMissingRoutes(sender, message, now);
+}
+
+void control_service::sendMissingRoutes(ip_endpoint const& receiver, hello_message const& message, monotonic_time now)
+{
+    if (message.configurationVersion >= m_routesVersion)
+        return;
+    if (message.host.protocol == directory_protocol::Leases) {
+        if (message.routes == route_request::Requested)
+            m_channel.sendEncoded(receiver, m_routeHistory.encodedSince(message.configurationVersion));
         return;
+    }
     bool const isDue
         = m_group.isLeader() || now - m_routesChangedAt >= followerRouteDelay || message.configurationVersion == 0;
-    if (message.configurationVersion < m_routesVersion && isDue)
-        m_channel.sendEncoded(sender, m_encodedRoutes);
+    if (isDue)
+        m_channel.sendEncoded(receiver, m_encodedRoutes);
 }
 
 void control_service::sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now)
@@ -349,6 +379,7 @@
         if (message.revision > 0 && update->records.size() <= maximumUpdateRecords)
             return m_channel.send(sender, *update);
     }
+    m_pageSentAt = now;
     m_channel.sendEncoded(sender, pages(message.scope, now).encodedPageAt(message.cursor, message.zone));
 }
 
@@ -438,12 +469,13 @@
     // All control hosts may start together. Balancers request a large directory, so that only one of them sends it.
     bool isComplete = true;
     for (auto const& host : balancers) {
-        m_channel.sendEncoded(host.peer, m_encodedRoutes);
         bool const knowsLeases = host.protocol == directory_protocol::Leases;
         bool const isSmall = knowsLeases
             ? pagedServers.pageCount(host.zone, maximumPushedPages + 1) <= maximumPushedPages
             : servers.size() <= maximumPushedBytes;
         isComplete = isComplete && isSmall;
+        if (isSmall || !knowsLeases)
+            m_channel.sendEncoded(host.peer, m_encodedRoutes);
         if (isSmall && knowsLeases) {
             for (page_cursor cursor;;) {
                 m_channel.sendEncoded(host.peer, pagedServers.encodedPageAt(cursor, host.zone));
@@ -564,6 +596,7 @@
         return;
     }
     m_encodedRoutes = encodeFleetMessage(*routes);
+    m_routeHistory.add(*routes);
     m_group.saveFile(routesFile, m_encodedRoutes);
 }
 
@@ -576,6 +609,7 @@
         auto const message = decodeFleetMessage(*bytes);
         if (message.ok() && std::holds_alternative<route_table>(*message)) {
             m_routesVersion = std::get<route_table>(*message).version;
+            m_routeHistory.add(std::get<route_table>(*message));
             m_encodedRoutes = *std::move(bytes);
         } else {
             m_logger.emit(events::savedConfigurationDamaged, routesFile);
@@ -635,12 +669,14 @@
     if (m_publishedVersion >= m_routesVersion || now - m_routesPublishedAt < routePublicationInterval
         || m_encodedRoutes.empty())
         return;
-    m_publishedVersion = m_routesVersion;
+    auto const previousVersion = std::exchange(m_publishedVersion, m_routesVersion);
     if (!m_group.isLeader())
         return;
     m_routesPublishedAt = now;
+    // A balancer that missed an earlier version cannot apply the difference, and requests the one it needs.
+    auto const& difference = m_routeHistory.encodedSince(previousVersion);
     for (auto const& host : m_hosts.list(host_role::Balancer, now, subscriberTimeout))
-        m_channel.sendEncoded(host.peer, m_encodedRoutes);
+        m_channel.sendEncoded(host.peer, host.protocol == directory_protocol::Leases ? difference : m_encodedRoutes);
 }
 
 void control_service::readSeeds()
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -8,7 +8,9 @@
 #include "host_list_rotation.h"
 #include "known_hosts.h"
 #include "peer_channel.h"
+#include "route_history.h"
 
+#include <Base/line_budget.h>
 #include <Kernel/bounded_mailbox.h>
 #include <Kernel/metrics_registry.h>
 #include <Kernel/wake_signal.h>
@@ -16,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <utility>
@@ -76,6 +79,7 @@
     void handle(ip_endpoint const& sender, age_request const& message, monotonic_time now);
     void handle(ip_endpoint const&, age_response const&, monotonic_time) { }
     void handle(ip_endpoint const&, route_table const&, monotonic_time) { }
+    void handle(ip_endpoint const&, route_difference const&, monotonic_time) { }
 
     void sendHellos(monotonic_time now);
     void publishDirectory(monotonic_time now);
@@ -89,7 +93,7 @@
         /// The directory is too large; balancers have to request it.
         Skipped,
     };
-    /// Sends the state saved by an earlier incarnation to all balancers that it knew.
+    /// Offers the state saved by an earlier incarnation to all balancers that it knew.
     server_push pushSavedState(monotonic_time now);
     directory_update allServers(monotonic_time now) const;
     /// @return A current copy of the directory in pages.
@@ -99,6 +103,9 @@
     /// @return How long changes are collected before they are sent.
     duration changeDelay() const;
     std::string const& encodedServers(monotonic_time now);
+    void sendMissingRoutes(ip_endpoint const& receiver, hello_message const& message, monotonic_time now);
+    /// Responds to balancers before the log is opened, as long as they request the directory.
+    void serveStartingBalancers(std::function<bool()> const& isStopping);
     void sendMissingServers(ip_endpoint const& receiver, hello_message const& message, monotonic_time now);
     /// @return A response that lists all hosts that a receiver with this role needs.
     hello_response makeHelloResponse(host_role receiver, monotonic_time now) const;
@@ -118,6 +125,8 @@
     peer_channel m_channel;
     wake_signal m_wake;
     monotonic_time m_startedAt;
+    std::mutex m_announcementLinesMutex;
+    line_budget m_announcementLines;
     known_hosts m_hosts;
     host_list_rotation m_hostListRotation;
     directory_feed m_feed;
@@ -130,6 +139,7 @@
     };
     std::map<server_scope, paged_directory> m_pages;
     monotonic_time m_leaseSentAt;
+    monotonic_time m_pageSentAt;
     size_t m_subscribers = 0;
     /// When a full directory was last sent to a host.
     std::map<std::pair<ip_endpoint, server_scope>, monotonic_time> m_fullDirectorySentAt;
@@ -139,7 +149,9 @@
     consensus_group m_group;
 
     uint64_t m_routesVersion = 0;
+    /// The newest routes as one message, for the file and for balancers that know no differences.
     std::string m_encodedRoutes;
+    route_history m_routeHistory;
     monotonic_time m_routesChangedAt;
     uint64_t m_publishedVersion = 0;
     monotonic_time m_routesPublishedAt;
--- a/Services/Fleet/directory_fetch.h
+++ b/Services/Fleet/directory_fetch.h
@@ -19,6 +19,7 @@
 
     /// @return Whether a request should be sent now.
     bool isDue(monotonic_time now) const { return !isComplete() && now >= m_nextRequestAt; }
+    monotonic_time nextRequestAt() const { return m_nextRequestAt; }
     /// Records that the request is sent.
     /// @return The request for the first page that has not been received.
     directory_request const& nextRequest(monotonic_time now);
