Fleet: Send tokens of servers that the receiver knows from another control host

After a restart of everything each balancer fetched the directory once with all servers and again from each control host with its own.

--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -147,6 +147,7 @@
         request.set_epoch(message.epoch);
         request.set_revision(message.revision);
         write(*request.mutable_cursor(), message.cursor);
+        request.set_omit_known_records(message.known == known_records::Omitted);
     }
 
     void write(wire::FleetMessage& target, age_request const& message)
@@ -340,7 +341,8 @@
     absl::StatusOr<fleet_message> read(wire::DirectoryRequest const& source)
     {
         return directory_request { source.all_servers() ? server_scope::All : server_scope::Own, source.zone(),
-            source.epoch(), source.revision(), read(source.cursor()) };
+            source.epoch(), source.revision(), read(source.cursor()),
+            source.omit_known_records() ? known_records::Omitted : known_records::Included };
     }
 
     absl::StatusOr<page_record> read(wire::PageRecord const& source, wire::DirectoryPage const& page)
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -137,6 +137,13 @@
     auto operator<=>(page_cursor const&) const = default;
 };
 
+/// How servers are sent that the receiver probably knows from another control host.
+enum class known_records : uint8_t {
+    Included,
+    /// By their tokens only. A receiver that does not know one of them has to request the directory again.
+    Omitted,
+};
+
 /// Requests the next page of a directory, or the changes that the sender lacks.
 struct directory_request {
     server_scope scope = server_scope::Own;
@@ -146,6 +153,7 @@
     uint64_t epoch = 0;
     uint64_t revision = 0;
     page_cursor cursor;
+    known_records known = known_records::Included;
     auto operator<=>(directory_request const&) const = default;
 };
 
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -36,9 +36,10 @@
     , m_hosts({ settings.address, settings.peerPort })
     , m_directory(settings.zone,
           [this](ip_endpoint const& receiver, fleet_message const& message) { m_channel.send(receiver, message); })
-    , m_fetch({ server_scope::All, settings.zone, 0, 0, {} })
+    , m_fetch({ server_scope::All, settings.zone, 0, 0, {}, known_records::Included })
     , m_startedAt(now)
 {
+    m_directory.setRecovery(directory_subscription::recovery::Disabled);
     setSeeds(settings.seeds);
 }
 
@@ -277,7 +278,7 @@
         auto const& link = m_links.at(*source);
         if (link.hasAllServers || !isUsable(link, now))
             return;
-        m_fetch = directory_fetch({ server_scope::All, m_settings.zone, 0, 0, {} });
+        m_fetch = directory_fetch({ server_scope::All, m_settings.zone, 0, 0, {}, known_records::Included });
     }
     m_channel.send(*source, m_fetch.nextRequest(now));
 }
@@ -343,6 +344,8 @@
         isComplete = isComplete || now >= link.completeAt;
         m_hasDirectory = m_hasDirectory || (isUsable(link, now) && link.hasAllServers);
     }
+    if (m_hasDirectory || m_fetch.isComplete())
+        m_directory.setRecovery(directory_subscription::recovery::Enabled);
     m_router.pool().setDirectoryHealth(isComplete ? directory_health::Current : directory_health::Stale);
 }
 
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -372,11 +372,12 @@
 
 void control_service::handle(ip_endpoint const& sender, directory_request const& message, monotonic_time now)
 {
-    if (message.scope == server_scope::Own && message.epoch == m_feed.epoch()) {
-        auto const update = m_feed.updateSince(message.epoch, message.revision, now);
+    bool const isUpdate = message.epoch == m_feed.epoch() && message.revision > 0;
+    if (message.scope == server_scope::Own && (isUpdate || message.known == known_records::Omitted)) {
+        auto const update = m_feed.updateSince(message.epoch, message.revision, now, message.known);
         if (!update)
             return m_channel.send(sender, m_feed.lease());
-        if (message.revision > 0 && update->records.size() <= maximumUpdateRecords)
+        if (update->records.size() <= maximumUpdateRecords)
             return m_channel.send(sender, *update);
     }
     m_pageSentAt = now;
--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -151,14 +151,15 @@
     return { m_epoch, m_sentRevision, m_sentRevision, {}, {}, server_scope::Own, {}, lease_renewal::Yes };
 }
 
-std::optional<directory_update> directory_feed::updateSince(uint64_t epoch, uint64_t revision, monotonic_time now) const
+std::optional<directory_update> directory_feed::updateSince(
+    uint64_t epoch, uint64_t revision, monotonic_time now, known_records known) const
 {
     std::lock_guard const lock(m_mutex);
     auto const knownRevision = epoch == m_epoch ? revision : 0;
     if (epoch == m_epoch && knownRevision >= m_sentRevision)
         return std::nullopt;
     auto update = changesAfter(knownRevision, now);
-    if (knownRevision > 0)
+    if (knownRevision > 0 || known == known_records::Omitted)
         return update;
     update.records.clear();
     for (auto const& [id, entry] : m_directory.entries())
--- a/Services/Fleet/directory_feed.h
+++ b/Services/Fleet/directory_feed.h
@@ -55,8 +55,10 @@
 
     /// @param epoch Epoch of the directory that the receiver has stored.
     /// @param revision Revision of the directory that the receiver has stored.
+    /// @param known Whether an update with all servers contains the records that peers have.
     /// @return The changes that the receiver lacks; nullopt if it has everything that drainChanges() returned.
-    std::optional<directory_update> updateSince(uint64_t epoch, uint64_t revision, monotonic_time now) const;
+    std::optional<directory_update> updateSince(
+        uint64_t epoch, uint64_t revision, monotonic_time now, known_records known = known_records::Included) const;
 
     /// @return An update with all servers of this control host.
     directory_update fullUpdate(monotonic_time now) const;
--- a/Services/Fleet/directory_subscription.cpp
+++ b/Services/Fleet/directory_subscription.cpp
@@ -17,10 +17,12 @@
 {
 }
 
-void directory_subscription::request(ip_endpoint const& source, monotonic_time now)
+void directory_subscription::request(ip_endpoint const& source, known_records known, monotonic_time now)
 {
+    if (m_recovery == recovery::Disabled)
+        return;
     auto const position = m_view.positionOf(source);
-    directory_fetch fetch({ server_scope::Own, m_zone, position.epoch, position.revision, {} });
+    directory_fetch fetch({ server_scope::Own, m_zone, position.epoch, position.revision, {}, known });
     auto const [entry, isNew] = m_requests.try_emplace(source, pending_request { fetch, now });
     if (isNew)
         m_send(source, entry->second.fetch.nextRequest(now));
@@ -31,7 +33,13 @@
 {
     auto changes = m_view.apply(source, update, now);
     if (changes.isComplete == directory_view::completeness::Gap) {
-        request(source, now);
+        bool const isBlank = m_view.directory().entries().empty();
+        request(source, isBlank ? known_records::Included : known_records::Omitted, now);
+        return changes;
+    }
+    if (changes.isComplete == directory_view::completeness::UnknownServer) {
+        m_requests.erase(source);
+        request(source, known_records::Included, now);
         return changes;
     }
     // The missing changes arrived in one update instead of in pages.
--- a/Services/Fleet/directory_subscription.h
+++ b/Services/Fleet/directory_subscription.h
@@ -23,6 +23,14 @@
     /// Merges a page. Pages of the scope All are requested by the caller, the others by this object.
     directory_view::changes apply(ip_endpoint const& source, directory_page const& page, monotonic_time now);
 
+    /// Whether lost updates are requested.
+    enum class recovery : uint8_t {
+        Enabled,
+        /// The caller is fetching the directories of all control hosts, after which few changes will be missing.
+        Disabled,
+    };
+    void setRecovery(recovery mode) { m_recovery = mode; }
+
     /// Repeats requests without a response.
     void step(monotonic_time now);
     /// @return When to call step() next; the maximum if there are no requests.
@@ -35,11 +43,12 @@
     directory_view const& view() const { return m_view; }
 
 private:
-    void request(ip_endpoint const& source, monotonic_time now);
+    void request(ip_endpoint const& source, known_records known, monotonic_time now);
 
     std::string m_zone;
     sender m_send;
     directory_view m_view;
+    recovery m_recovery = recovery::Enabled;
     struct pending_request {
         directory_fetch fetch;
         monotonic_time sentAt;
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -61,7 +61,7 @@
         if (server == m_servers.end()) {
             // The sender sends no record since its peers have one. Only a full copy of its directory has it too.
             if (announcer) {
-                result.isComplete = completeness::Gap;
+                result.isComplete = completeness::UnknownServer;
                 feed.received = {};
             }
             continue;
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -25,6 +25,8 @@
         Complete,
         /// An earlier update was lost, so the sender has to be asked for the changes since its position.
         Gap,
+        /// The update names a server of which no record has been received, so the sender has to be asked for all.
+        UnknownServer,
     };
 
     /// What an update changed.
