Fleet: Answer calls in progress before a planned stop

A control host that stopped ended while calls were waiting for a majority, and could acknowledge announcements that it no longer sent to balancers. It now refuses announcements, ends waiting calls, and writes their responses first; a balancer forwards the packets left in its socket. An exception in a request handler is answered with 500 instead of ending the process, and an empty fragment no longer completes a message that lacks another one.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -44,6 +44,7 @@
         events::groupChanged,
         events::documentRequested,
         events::httpListenFailed,
+        events::requestHandlerFailed,
     };
 
 } // namespace
--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -61,6 +61,7 @@
     inline constexpr log_event groupChanged { 607, log_severity::Information, "group_changed" };
     inline constexpr log_event documentRequested { 608, log_severity::Information, "document_requested" };
     inline constexpr log_event httpListenFailed { 700, log_severity::Error, "http_listen_failed" };
+    inline constexpr log_event requestHandlerFailed { 701, log_severity::Error, "request_handler_failed" };
 } // namespace events
 
 /// @return All events in ascending order of their numbers.
--- a/Libraries/OperatorInterface/http_server.cpp
+++ b/Libraries/OperatorInterface/http_server.cpp
@@ -1,10 +1,14 @@
 #include <OperatorInterface/http_server.h>
 
 #include <Base/error_kind.h>
+#include <Base/event_logger.h>
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <civetweb.h>
+#include <exception>
 #include <string>
+#include <thread>
 #include <utility>
 
 namespace bilberryyard {
@@ -94,17 +98,32 @@
     http_router router;
     http_limits limits;
     mg_context* context = nullptr;
+    std::atomic<int> activeRequests { 0 };
 
     static int handleRequest(mg_connection* connection)
     {
         auto const& information = *mg_get_request_info(connection);
-        auto const& self = *static_cast<implementation const*>(information.user_data);
-        auto const response = self.makeResponse(connection, information);
+        auto& self = *static_cast<implementation*>(information.user_data);
+        ++self.activeRequests;
+        auto const response = self.makeResponseWithoutException(connection, information);
         mg_disable_keep_alive(connection);
         send(connection, response);
+        --self.activeRequests;
         return response.status;
     }
 
+    // CivetWeb is written in C, so an exception that left the handler would end the process.
+    http_response makeResponseWithoutException(
+        mg_connection* connection, mg_request_info const& information) const noexcept
+    {
+        try {
+            return makeResponse(connection, information);
+        } catch (std::exception const& error) {
+            event_logger { "http" }.emit(events::requestHandlerFailed, error.what());
+            return makeErrorResponse({}, makeError(error_kind::Internal, "the request handler failed"));
+        }
+    }
+
     // Responds to requests that CivetWeb refuses before any handler is called, for example because the request line is
     // invalid.
     static int handleProtocolError(mg_connection* connection, int status, char const* message)
@@ -134,6 +153,18 @@
     }
 };
 
+bool http_server::waitUntilIdle(duration timeout) const
+{
+    constexpr std::chrono::milliseconds pollInterval { 5 };
+    auto const deadline = std::chrono::steady_clock::now() + timeout;
+    while (m_implementation->activeRequests > 0) {
+        if (std::chrono::steady_clock::now() >= deadline)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
 http_server::http_server(endpoint const& address, std::unique_ptr<implementation> state)
     : m_address(address)
     , m_implementation(std::move(state))
--- a/Libraries/OperatorInterface/http_server.h
+++ b/Libraries/OperatorInterface/http_server.h
@@ -38,6 +38,10 @@
     http_server& operator=(http_server const&) = delete;
     ~http_server();
 
+    /// Waits until no request is being handled.
+    /// @return Whether the last response has been written within the timeout.
+    bool waitUntilIdle(duration timeout) const;
+
     /// @return The listening address with the actual port.
     endpoint address() const { return m_address; }
 
--- a/Libraries/Transport/datagram_fragments.cpp
+++ b/Libraries/Transport/datagram_fragments.cpp
@@ -60,7 +60,10 @@
         std::memcpy(&header, datagram.data(), headerBytes);
     auto const fragment = datagram.substr(std::min(headerBytes, datagram.size()));
     bool const isValid = header.magic == formatMagic && header.index < header.count
-        && header.count <= maximumMessageBytes / fragmentBytes + 1 && header.checksum == checksumOf(fragment);
+        && header.count <= maximumMessageBytes / fragmentBytes + 1
+        && header.checksum == checksumOf(fragment)
+        // An empty slot marks a missing fragment, so an empty fragment would be counted each time that it arrives.
+        && (header.count == 1 || !fragment.empty());
     if (!isValid) {
         ++m_refused;
         return std::nullopt;
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -45,6 +45,8 @@
     static constexpr size_t maximumPacketBytes = 2'048;
     /// Maximum number of packets, and of messages, that one step handles before it checks timers.
     static constexpr int packetsPerStep = 128;
+    /// Limits the rounds of packetsPerStep packets that are forwarded after the withdrawal, if callers keep sending.
+    static constexpr int maximumFinalRounds = 16;
     /// Buffers packets in the kernel while the process is not scheduled.
     static constexpr int receiveBufferBytes = 1 << 20;
     /// Log lines are written in batches: at this interval while the process is busy, at the next wake-up otherwise.
@@ -76,7 +78,8 @@
         return m_control.isReady() || now >= m_startedAt + initialPacketDelay;
     }
     void receiveMessages();
-    void receivePackets();
+    /// @return Number of packets that were received.
+    int receivePackets();
     void forward(std::span<uint8_t> packet, caller_packet const& decoded, monotonic_time now);
     void sendReset(caller_packet const& packet, reset_reason reason);
     void logFlow(
@@ -141,6 +144,8 @@
     auto const end = bootTime() + std::min(withdrawalDuration, m_settings.terminationGrace / 2);
     while (bootTime() < end)
         step();
+    // Packets that have arrived by now are lost when the socket is closed.
+    for (int round = 0; round < maximumFinalRounds && receivePackets() > 0; ++round) { }
 }
 
 template <packet_format Format>
@@ -192,12 +197,13 @@
 }
 
 template <packet_format Format>
-void balancer_service<Format>::receivePackets()
+int balancer_service<Format>::receivePackets()
 {
     std::span const room = std::span(m_buffer).subspan(Format::prefixBytes);
     datagram_socket::received datagram;
     auto const now = bootTime();
-    for (int count = 0; count < packetsPerStep && m_packets.receive(room, datagram); ++count) {
+    int count = 0;
+    for (; count < packetsPerStep && m_packets.receive(room, datagram); ++count) {
         auto const packet = room.first(datagram.size);
         auto const decoded = Format::parse(packet);
         if (decoded)
@@ -205,6 +211,7 @@
         else
             m_metrics.counter("packets_unreadable_total").add();
     }
+    return count;
 }
 
 template <packet_format Format>
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <poll.h>
 #include <random>
+#include <thread>
 
 namespace bilberryyard {
 
@@ -15,6 +16,9 @@
 
     // Clients that read or store the configuration time out after a second and try another control host.
     constexpr std::chrono::milliseconds requestTimeout { 900 };
+    // How often a call that waits for its result checks whether the service is stopping.
+    constexpr std::chrono::milliseconds stopCheckInterval { 20 };
+    constexpr char const* stoppingText = "this host is stopping";
     constexpr duration helloInterval = std::chrono::milliseconds(700);
     // Log lines are written in batches: at this interval while the process is busy, at the next wake-up otherwise.
     constexpr duration flushInterval = std::chrono::milliseconds(50);
@@ -135,8 +139,11 @@
         m_settings.controlEndpoint ? m_settings.controlEndpoint->port : uint16_t { 0 }, {} };
 }
 
-announcement_effect control_service::announce(backend_announcement const& announcement)
+absl::StatusOr<announcement_effect> control_service::announce(backend_announcement const& announcement)
 {
+    // A change that is accepted now would not be sent to balancers.
+    if (m_isStopped)
+        return makeError(error_kind::Unavailable, stoppingText);
     auto const effect = m_feed.announce(announcement, bootTime());
     m_metrics.counter("announcements_total").add();
     if (effect == announcement_effect::Added || effect == announcement_effect::Changed) {
@@ -156,6 +163,20 @@
 template <typename Function>
 document_response control_service::runOnServiceThread(Function function)
 {
+    struct call_guard {
+        explicit call_guard(std::atomic<int>& count)
+            : m_count(count)
+        {
+            ++m_count;
+        }
+        ~call_guard() { --m_count; }
+        call_guard(call_guard const&) = delete;
+        call_guard& operator=(call_guard const&) = delete;
+
+    private:
+        std::atomic<int>& m_count;
+    };
+    call_guard const guard(m_activeCalls);
     // Shared, because the task may set the result after the caller has timed out.
     auto const result = std::make_shared<std::promise<document_response>>();
     auto future = result->get_future();
@@ -165,11 +186,25 @@
     if (!m_tasks.push([function = std::move(function), result] { function(result); }))
         return unavailable("the queue of configuration requests is full");
     m_wake.raise();
-    if (future.wait_for(requestTimeout) != std::future_status::ready)
-        return unavailable("the configuration request timed out without a response from a majority");
+    auto const deadline = bootTime() + requestTimeout;
+    while (future.wait_for(stopCheckInterval) != std::future_status::ready) {
+        if (m_isStopped)
+            return unavailable(stoppingText);
+        if (bootTime() >= deadline)
+            return unavailable("the configuration request timed out without a response from a majority");
+    }
     return future.get();
 }
 
+void control_service::finishCalls()
+{
+    m_isStopped = true;
+    publishDirectory(bootTime());
+    auto const end = bootTime() + 3 * stopCheckInterval;
+    while (m_activeCalls > 0 && bootTime() < end)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
 void control_service::logRequest(char const* kind, uint64_t version, document_response const& response) const
 {
     m_logger.emit(events::documentRequested,
@@ -214,6 +249,7 @@
     auto const transferEnd = bootTime() + std::chrono::milliseconds(800);
     while (m_group.isLeader() && bootTime() < transferEnd)
         step();
+    finishCalls();
 }
 
 void control_service::serveStartingBalancers(std::function<bool()> const& isStopping)
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -15,6 +15,7 @@
 #include <Kernel/metrics_registry.h>
 #include <Kernel/wake_signal.h>
 #include <absl/status/statusor.h>
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,7 +41,8 @@
         fleet_settings const& settings, route_reader readRoutes, seed_source seeds, metrics_registry& metrics);
 
     /// Applies an announcement of a backend server; its state is Gone if the server has left. Called from any thread.
-    announcement_effect announce(backend_announcement const& announcement);
+    /// @return Its effect; Unavailable if the service has stopped, so that the server announces itself elsewhere.
+    absl::StatusOr<announcement_effect> announce(backend_announcement const& announcement);
 
     /// Stores a document. Blocks until the result is known or a timeout expires; must not be called on the thread of
     /// run().
@@ -52,7 +54,8 @@
     /// @return The document, or why it is not available.
     document_response read();
 
-    /// Runs the service on the calling thread until `isStopping` returns true. Then transfers leadership and returns.
+    /// Runs the service on the calling thread until `isStopping` returns true. Then transfers leadership, answers the
+    /// calls in progress, and returns.
     void run(std::function<bool()> const& isStopping);
 
     /// Raise it to make run() check `isStopping`.
@@ -64,6 +67,8 @@
 
     template <typename Function>
     document_response runOnServiceThread(Function function);
+    /// Sends the last changes and waits until the calls in progress have returned.
+    void finishCalls();
     void logRequest(char const* kind, uint64_t version, document_response const& response) const;
 
     void step();
@@ -164,6 +169,9 @@
     monotonic_time m_flushedAt;
 
     bounded_mailbox<std::function<void()>> m_tasks { 256 };
+    /// Calls of store() and read() that have not returned.
+    std::atomic<int> m_activeCalls { 0 };
+    std::atomic<bool> m_isStopped { false };
 };
 
 } // namespace bilberryyard
--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -70,8 +70,13 @@
             , m_thread([this] { service->run([this] { return m_isStopping.load(); }); })
         {
         }
-        ~running_control_host()
+        ~running_control_host() { stop(); }
+
+        /// Stops the service as SIGTERM does, and waits until run() has returned.
+        void stop() const
         {
+            if (!m_thread.joinable())
+                return;
             m_isStopping = true;
             service->wake().raise();
             m_thread.join();
@@ -80,8 +85,8 @@
         std::unique_ptr<control_service> service;
 
     private:
-        std::atomic<bool> m_isStopping { false };
-        std::thread m_thread;
+        mutable std::atomic<bool> m_isStopping { false };
+        mutable std::thread m_thread;
     };
 
     static document_response storeWithin(control_service& service, uint64_t version, std::chrono::seconds timeout)
@@ -181,7 +186,7 @@
         announcement.service = "orders";
         announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
         announcement.startedAtMs = 100;
-        first.service->announce(announcement);
+        BOOST_REQUIRE(first.service->announce(announcement).ok());
         std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
     }
     // The other members stay down, so there is no leader.
@@ -202,7 +207,7 @@
     announcement.id = "i-1";
     announcement.service = "orders";
     announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
-    host.service->announce(announcement);
+    BOOST_REQUIRE(host.service->announce(announcement).ok());
     auto channel = peer_channel::create({ addressOf(9), 27'921 }).value();
     fleet_host const balancer { { addressOf(9), 27'921 }, host_role::Balancer, "a", "host-9", 0, {},
         directory_protocol::Renewals };
@@ -279,7 +284,7 @@
             announcement.id = "i-" + std::to_string(number);
             announcement.service = "orders";
             announcement.address = { ip_address::fromIpv4(0x0a000000U + static_cast<uint32_t>(number)), 80 };
-            host.service->announce(announcement);
+            BOOST_REQUIRE(host.service->announce(announcement).ok());
         }
         auto channel = peer_channel::create(balancer.peer).value();
         hello_message const helloMessage { balancer, 0, 1, 0, host_list::NotRequested, server_scope::Own };
@@ -313,7 +318,7 @@
     announcement.id = "i-1";
     announcement.service = "orders";
     announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
-    host.service->announce(announcement);
+    BOOST_REQUIRE(host.service->announce(announcement).ok());
     auto channel = peer_channel::create({ addressOf(9), 27'921 }).value();
     fleet_host const balancer { { addressOf(9), 27'921 }, host_role::Balancer, "a", "host-9", 0, {},
         directory_protocol::Renewals };
@@ -361,6 +366,100 @@
     BOOST_CHECK((requestedScopes == std::vector { server_scope::All }));
 }
 
+// Guards against a rolling upgrade in which a balancer of the previous release receives no renewals, and stops using
+// all servers.
+BOOST_FIXTURE_TEST_CASE(balancer_without_leases_gets_renewals, control_fixture)
+{
+    running_control_host const host(settingsOf(1, { 1 }), metrics);
+    backend_announcement announcement;
+    announcement.id = "i-1";
+    announcement.service = "orders";
+    announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
+    auto channel = peer_channel::create({ addressOf(9), 27'921 }).value();
+    std::map<directory_protocol, int> renewals;
+    std::map<directory_protocol, int> leases;
+    for (auto const protocol : { directory_protocol::Renewals, directory_protocol::Leases }) {
+        fleet_host const balancer { { addressOf(9), 27'921 }, host_role::Balancer, "a", "host-9", 0, {}, protocol };
+        channel.send(
+            { addressOf(1), 27'921 }, hello_message { balancer, 0, 0, 0, host_list::NotRequested, server_scope::Own });
+        // Discards what was sent before the host knew this protocol.
+        std::this_thread::sleep_for(std::chrono::milliseconds(600));
+        for (bool isEmpty = false; !isEmpty;)
+            channel.receive(bootTime(), isEmpty);
+        for (int count = 0; count < 3; ++count) {
+            ++announcement.sequence;
+            BOOST_REQUIRE(host.service->announce(announcement).ok());
+            std::this_thread::sleep_for(std::chrono::milliseconds(450));
+        }
+        for (bool isEmpty = false; !isEmpty;) {
+            auto const message = channel.receive(bootTime(), isEmpty);
+            auto const* const update = message ? std::get_if<directory_update>(&message->message) : nullptr;
+            if (!update)
+                continue;
+            renewals[protocol] += static_cast<int>(update->renewed.size());
+            leases[protocol] += update->lease == lease_renewal::Yes ? 1 : 0;
+        }
+    }
+    BOOST_TEST(renewals[directory_protocol::Renewals] >= 2);
+    BOOST_TEST(leases[directory_protocol::Renewals] == 0);
+    BOOST_TEST(renewals[directory_protocol::Leases] == 0);
+    BOOST_TEST(leases[directory_protocol::Leases] >= 2);
+}
+
+// Guards against a balancer of this release that waits forever for pages from control hosts of the previous one.
+BOOST_FIXTURE_TEST_CASE(balancer_becomes_ready_with_control_hosts_without_leases, control_fixture)
+{
+    balancer_probe probe(settingsOf(9, {}, host_role::Balancer));
+    ip_endpoint const host { addressOf(1), 27'921 };
+    fleet_host const record { host, host_role::Control, "a", "host-1", 27'922, {}, directory_protocol::Renewals };
+    auto const now = bootTime();
+    probe.control.receive(host, hello_response { { record }, 5, std::chrono::seconds(60), true }, now);
+    probe.control.receive(host, tableOf(5), now);
+    backend_announcement announcement;
+    announcement.id = "i-1";
+    announcement.service = "orders";
+    announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
+    directory_update const directory { 7, 0, 1, { { announcement, {} } }, {}, server_scope::All };
+    probe.control.receive(host, directory, now);
+    probe.control.updateReadiness(now);
+    BOOST_TEST(probe.control.isReady());
+    auto const later = now + std::chrono::seconds(3);
+    probe.control.receive(host, directory_update { 7, 1, 1, {}, { flowToken("i-1") } }, later);
+    BOOST_CHECK(probe.router.pool().find(flowToken("i-1"))->liveness.latest() == later);
+}
+
+// Guards against calls that get no response because the host stops while it handles them.
+BOOST_FIXTURE_TEST_CASE(planned_stop_answers_calls_in_progress, control_fixture)
+{
+    constexpr int calls = 16;
+    std::atomic<int> answered { 0 };
+    std::vector<std::thread> callers;
+    {
+        // Without a majority, a call waits until its timeout.
+        running_control_host const host(settingsOf(1, { 1, 2, 3 }), metrics);
+        auto& service = *host.service;
+        std::atomic<int> started { 0 };
+        for (int count = 0; count < calls; ++count) {
+            callers.emplace_back([&service, &answered, &started] {
+                ++started;
+                BOOST_CHECK(errorKindOf(service.store({ 5, "5" }).status) == error_kind::Unavailable);
+                ++answered;
+            });
+        }
+        while (started < calls)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        host.stop();
+        // The process ends when run() has returned, so all calls must have returned by then.
+        BOOST_TEST(answered == calls);
+        backend_announcement announcement;
+        announcement.id = "i-1";
+        BOOST_CHECK(errorKindOf(service.announce(announcement).status()) == error_kind::Unavailable);
+        for (auto& caller : callers)
+            caller.join();
+    }
+}
+
 // Guards against a host that lost its disk and cannot join the group again.
 BOOST_FIXTURE_TEST_CASE(host_with_an_empty_disk_joins_again, control_fixture)
 {
--- a/Tests/Fleet/test_directory_leases.cpp
+++ b/Tests/Fleet/test_directory_leases.cpp
@@ -207,6 +207,48 @@
     BOOST_TEST(!feed.drainChanges(at(6'000)).has_value());
 }
 
+// A control host is replaced by an empty one at another address. Guards against servers that are given up, or forgotten
+// with their open flows, because the host that they announced themselves to is gone.
+BOOST_FIXTURE_TEST_CASE(servers_survive_the_replacement_of_their_control_host, lease_fixture)
+{
+    for (int number = 0; number < 20; ++number)
+        announceUntil(feed, number, 1'200);
+    transfer(feed, 1, 1'200);
+    directory_feed successor({}, 9);
+    for (int number = 0; number < 20; ++number)
+        successor.announce(announcementOf(number, 50), at(3'400));
+    auto const changes = transfer(successor, 4, 3'400);
+    // No balancer regards them as new or changed, so no state of a flow or of its server is reset.
+    BOOST_TEST(changes.changed.empty());
+    transfer(successor, 4, 20'000);
+    BOOST_TEST(view.expire(at(20'000)).empty());
+    for (int number = 0; number < 20; ++number)
+        BOOST_CHECK(lastSeen(number) == at(20'000));
+    // Even without any announcement, a server is kept for longer than a flow lives.
+    BOOST_TEST(view.expire(at(100'000)).empty());
+}
+
+// Guards against a server that has left and is used again, because a control host restored a directory that it had
+// saved before the server left.
+BOOST_FIXTURE_TEST_CASE(server_that_left_stays_gone_after_a_host_restored_older_state, lease_fixture)
+{
+    announceUntil(feed, 1, 1'200);
+    auto const saved = feed.fullUpdate(at(1'200));
+    transfer(feed, 1, 1'200);
+    auto leave = announcementOf(1, 0, backend_state::Gone);
+    BOOST_CHECK(feed.announce(leave, at(1'500)) == announcement_effect::Changed);
+    transfer(feed, 1, 1'500);
+    // The restored copy arrives in a page of another host, and as an update of the previous release.
+    directory_pages pages;
+    pages.assign({ { { announcementOf(1, 2), std::chrono::seconds(4) }, false, 0 } }, { { controlHost(2), 7, 1 } },
+        server_scope::All);
+    BOOST_TEST(view.apply(controlHost(2), pages.pageAt({}, "zone-1"), at(1'600)).changed.empty());
+    BOOST_TEST(view.apply(controlHost(2), saved, at(1'700)).changed.empty());
+    BOOST_CHECK(view.directory().find(idOf(1))->announcement.state == backend_state::Gone);
+    // Nor does a delayed announcement of the same incarnation bring it back.
+    BOOST_CHECK(feed.announce(announcementOf(1, 3), at(9'000)) == announcement_effect::Ignored);
+}
+
 // Load pattern: hundreds of servers stop at once. Guards against reports that are repeated with each lease.
 BOOST_FIXTURE_TEST_CASE(servers_that_stop_together_are_reported_once, lease_fixture)
 {
--- a/Tests/Placement/test_load_patterns.cpp
+++ b/Tests/Placement/test_load_patterns.cpp
@@ -125,6 +125,64 @@
     BOOST_CHECK(reset == row.reset);
 }
 
+// Empty servers join while handshakes are in progress. Guards against a repeated handshake that reaches a second
+// server, which would accept the flow as well: the caller's request could then run twice.
+BOOST_AUTO_TEST_CASE(repeated_handshake_keeps_its_server_while_empty_servers_join)
+{
+    placement_fixture fixture;
+    for (int number = 1; number <= 4; ++number)
+        fixture.announce(number);
+    auto const openFrom = [&](uint16_t first) {
+        std::map<uint16_t, uint32_t> servers;
+        for (auto caller = first; caller < first + 100; ++caller)
+            servers[caller]
+                = placement_fixture::targetOf(fixture.open(caller, 0, placement_fixture::nonIdempotentPort)).value();
+        return servers;
+    };
+    auto const servers = openFrom(20'000);
+    auto const others = openFrom(30'000);
+    for (int number = 5; number <= 30; ++number)
+        fixture.announce(number);
+    for (uint32_t const repeat : { 1U, 2U }) {
+        fixture.advance(repeat == 1 ? 200 : 400);
+        // The servers respond to other callers, so only single handshake packets were lost.
+        for (auto const& [caller, token] : others) {
+            if (caller % 2 == repeat % 2)
+                fixture.completeHandshake(caller, token, placement_fixture::nonIdempotentPort);
+        }
+        for (auto const& [caller, token] : servers) {
+            auto const target
+                = placement_fixture::targetOf(fixture.open(caller, repeat, placement_fixture::nonIdempotentPort));
+            BOOST_TEST((target == std::optional(token)));
+        }
+    }
+}
+
+// Long downloads over a lossy path. Guards against resets and ejections because callers repeat packets, while the
+// server responds: a page would stay incomplete.
+BOOST_AUTO_TEST_CASE(download_on_a_lossy_link_is_not_reset)
+{
+    placement_fixture fixture;
+    for (int number = 1; number <= 2; ++number)
+        fixture.announce(number, "a", backend_state::Ready, "gallery");
+    constexpr auto port = placement_fixture::downloadPort;
+    std::map<uint16_t, uint32_t> flows;
+    for (uint16_t caller = 20'000; caller < 20'020; ++caller)
+        flows[caller] = fixture.openEstablished(caller, port);
+    for (auto const& [caller, token] : flows)
+        fixture.request(caller, token, 5'001, port);
+    for (int step = 0; step < 40; ++step) {
+        fixture.advance(200);
+        for (auto const& [caller, token] : flows) {
+            // Each caller loses some packets: it repeats its request or acknowledges what it has received.
+            auto const decision = (step + caller) % 3 == 0 ? fixture.request(caller, token, 5'001, port)
+                                                           : fixture.acknowledgeResponse(caller, token, port);
+            BOOST_TEST((placement_fixture::targetOf(decision) == std::optional(token)));
+        }
+    }
+    BOOST_TEST(fixture.router.pool().drainEjections().empty());
+}
+
 struct lease_row {
     char const* name;
     /// What a control host reports on request about the server that does not respond: the time since its last
--- a/Tests/Transport/test_datagram_fragments.cpp
+++ b/Tests/Transport/test_datagram_fragments.cpp
@@ -78,6 +78,24 @@
     BOOST_TEST(assembler.refused() == 1u);
 }
 
+// Guards against an empty fragment, which no sender of this program sends, that is counted each time it arrives and
+// completes a message although another fragment is missing.
+BOOST_AUTO_TEST_CASE(empty_fragment_of_a_longer_message_is_refused)
+{
+    auto first = splitIntoDatagrams(messageOf(20'000), 1).front();
+    auto const whole = splitIntoDatagrams({}, 1).front();
+    // The header of an empty message, with the fragment count of the longer one.
+    auto empty = whole;
+    empty[10] = first[10];
+    empty[11] = first[11];
+    empty[8] = 1;
+    datagram_assembler assembler;
+    BOOST_TEST(!assembler.add(sender, first, start).has_value());
+    for (int count = 0; count < 5; ++count)
+        BOOST_TEST(!assembler.add(sender, empty, start).has_value());
+    BOOST_TEST(assembler.refused() == 5u);
+}
+
 // Guards against a duplicate datagram that completes a message although a fragment is missing.
 BOOST_AUTO_TEST_CASE(duplicate_fragment_does_not_complete_a_message)
 {
