--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -306,6 +306,7 @@
         if (tokens.size() != ages.size())
             return makeError(error_kind::InvalidArgument, "the numbers of servers and of their ages differ");
         std::vector<server_age> result;
+        result.reserve(static_cast<size_t>(tokens.size()));
         for (int index = 0; index < tokens.size(); ++index)
             result.push_back({ tokens.Get(index), milliseconds(ages.Get(index)) });
         return result;
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -62,6 +62,13 @@
     wake_signal const& wake() const { return m_wake; }
 
 private:
+    /// A lease is renewed this often. A lost lease is harmless, since balancers tolerate several announcement
+    /// intervals.
+    static constexpr duration leaseInterval = std::chrono::milliseconds(400);
+    /// Updates are no longer sent to a host that was last seen longer ago than this. Hosts send a hello message every
+    /// 700 ms.
+    static constexpr duration subscriberTimeout = std::chrono::seconds(8);
+
     control_service(fleet_settings const& settings, route_reader readRoutes, seed_source seeds,
         metrics_registry& metrics, peer_channel channel, wake_signal wake);
 
--- a/Utilities/Benchmarks/Slopes/main.cpp
+++ b/Utilities/Benchmarks/Slopes/main.cpp
@@ -7,7 +7,7 @@
 // Measures how the cost of each part of the system grows with its input, and prints the measurements with their
 // least-squares slope and intercept. Memory is the usable size of all blocks allocated with operator new; time is the
 // processor time of the thread. docs/CAPACITY.md uses the results.
-// Usage: benchmark_slopes [routing|forwarding|coordination|control]
+// Usage: benchmark_slopes [routing|forwarding|coordination|control|directory]
 
 using namespace bilberryyard;
 
@@ -19,7 +19,7 @@
 };
 
 constexpr benchmark benchmarks[] = { { "routing", measureRouting }, { "forwarding", measureForwarding },
-    { "coordination", measureCoordination }, { "control", measureControl } };
+    { "coordination", measureCoordination }, { "control", measureControl }, { "directory", measureDirectory } };
 
 } // namespace
 
@@ -36,7 +36,8 @@
         }
     }
     if (!isKnown) {
-        std::fprintf(stderr, "benchmark_slopes: unknown benchmark; use routing, forwarding, coordination or control\n");
+        std::fprintf(stderr,
+            "benchmark_slopes: unknown benchmark; use routing, forwarding, coordination, control or directory\n");
         return presentationFor(error_kind::InvalidArgument).exitCode;
     }
     return 0;
--- a/Utilities/Benchmarks/Slopes/measurements.h
+++ b/Utilities/Benchmarks/Slopes/measurements.h
@@ -10,5 +10,6 @@
 absl::Status measureForwarding();
 absl::Status measureCoordination();
 absl::Status measureControl();
+absl::Status measureDirectory();
 
 } // namespace bilberryyard
