Tests: Store results of concurrent calls instead of checking them on their threads

Sixteen threads called BOOST_CHECK at a time, while the main thread did the same; Boost.Test is not thread-safe. The test now compares when each call returned with the end of run(), which is as strict: a call that is not ended returns up to 900 ms later.

--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -428,35 +428,42 @@
     BOOST_CHECK(probe.router.pool().find(flowToken("i-1"))->liveness.latest() == later);
 }
 
-// Guards against calls that get no response because the host stops while it handles them.
+// Guards against calls that get no response because the host stops while it handles them. The process ends when run()
+// has returned, so all calls must have returned by then; a call that is not ended waits for up to 900 ms.
 BOOST_FIXTURE_TEST_CASE(planned_stop_answers_calls_in_progress, control_fixture)
 {
-    constexpr int calls = 16;
-    std::atomic<int> answered { 0 };
+    struct call_result {
+        error_kind kind = error_kind::Internal;
+        monotonic_time returnedAt;
+    };
+    // Time for a thread to be scheduled after its call has returned.
+    constexpr std::chrono::milliseconds tolerance { 200 };
+    // Checks of Boost.Test are not thread-safe, so the callers only store their results.
+    std::vector<call_result> results(16);
+    // Without a majority, a call waits until its timeout.
+    running_control_host const host(settingsOf(1, { 1, 2, 3 }), metrics);
+    std::atomic<size_t> started { 0 };
     std::vector<std::thread> callers;
-    {
-        // Without a majority, a call waits until its timeout.
-        running_control_host const host(settingsOf(1, { 1, 2, 3 }), metrics);
-        auto& service = *host.service;
-        std::atomic<int> started { 0 };
-        for (int count = 0; count < calls; ++count) {
-            callers.emplace_back([&service, &answered, &started] {
-                ++started;
-                BOOST_CHECK(errorKindOf(service.store({ 5, "5" }).status) == error_kind::Unavailable);
-                ++answered;
-            });
-        }
-        while (started < calls)
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        host.stop();
-        // The process ends when run() has returned, so all calls must have returned by then.
-        BOOST_TEST(answered == calls);
-        backend_announcement announcement;
-        announcement.id = "i-1";
-        BOOST_CHECK(errorKindOf(service.announce(announcement).status()) == error_kind::Unavailable);
-        for (auto& caller : callers)
-            caller.join();
+    for (auto& result : results) {
+        callers.emplace_back([&] {
+            ++started;
+            result.kind = errorKindOf(host.service->store({ 5, "5" }).status);
+            result.returnedAt = bootTime();
+        });
+    }
+    while (started < results.size())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    host.stop();
+    auto const stoppedAt = bootTime();
+    backend_announcement announcement;
+    announcement.id = "i-1";
+    BOOST_CHECK(errorKindOf(host.service->announce(announcement).status()) == error_kind::Unavailable);
+    for (auto& caller : callers)
+        caller.join();
+    for (auto const& result : results) {
+        BOOST_CHECK(result.kind == error_kind::Unavailable);
+        BOOST_CHECK(result.returnedAt <= stoppedAt + tolerance);
     }
 }
 
