Review: Show resets of flows under ordinary load; make the cases wait for feeds

Cause: a balancer presumes a server dead when it saw no response to its own callers for 300 ms. Answers have the sizes of the site. Cases 1 to 3 wait until feeds are open at the server.

--- a/review/2/run.py
+++ b/review/2/run.py
@@ -23,7 +23,7 @@
 
 async def scenario(world, trouble):
     await common_case.start_deployment(
-        world, [("orderdesk", 1, 1), ("orderdesk", 2, 1), ("gallery", 2, 2)])
+        world, [("orderdesk", 1, 1), ("orderdesk", 2, 1), ("orderdesk", 1, 3), ("gallery", 2, 2)])
     host_a, host_b, host_c = world.controls
     address = f"{world.net}.100.9"
 
@@ -45,6 +45,7 @@
         await asyncio.sleep(0.01)
     world.log(f"{victim.id} has registered with {host_a.name}; its later heartbeats go to {host_c.name}")
     victim.controls = [host_c, host_b, host_a]
+    await asyncio.sleep(0.5)
     await common_case.start_load(world)
     await common_case.require_open_flows(world, victim, 2)
     await late
--- a/review/common_case.py
+++ b/review/common_case.py
@@ -88,9 +88,9 @@
 
 
 async def require_open_flows(world, server, count=1):
-    """Waits until the server holds open flows, so that the case says something about them."""
+    """Waits until the server holds feeds, so that the case says something about open flows."""
     for _ in range(100):
-        if sum(flow["open"] for flow in server.flows.values()) >= count:
+        if sum(flow["open"] for key, flow in server.flows.items() if key[3] == FEED) >= count:
             return
         await asyncio.sleep(0.05)
-    raise CannotRun(f"server {server.id} got no flows")
+    raise CannotRun(f"server {server.id} got no feeds")
--- a/review/standins.py
+++ b/review/standins.py
@@ -387,14 +387,18 @@
         self.udp.send(encode(flags, echo, seq, ack, data, sport, dst, dport, src),
                       (address_of(src), self.world.data_port))
 
+    def work_time(self, head):
+        return self.work_s[head.split(" ", 1)[0]]
+
     async def work(self, key, flow, head, body):
         request = header_of(head, "X-Request-Id")
         async with self.slots:
             self.runs.append(request)
             self.world.runs.setdefault(request, []).append(self)
             self.world.log(f"run request={request} server={self.id} service={self.service}")
-            await asyncio.sleep(self.work_s[head.split(" ", 1)[0]])
-        answer = f"answer to {request} of {self.service}".encode()
+            await asyncio.sleep(self.work_time(head))
+        # Sizes of the kinds of request at the site: a status update has 4,000 bytes, the answer to an order 600.
+        answer = f"answer to {request} of {self.service} ".encode().ljust(4000 if head.startswith("GET") else 600, b".")
         closing = self.state == "draining"
         flow["stream"].write(
             f"HTTP/1.1 200 OK\r\nX-Server-Stamp: {self.id}\r\nX-Instance-Id: {self.id}\r\n"
