--- a/review/common_case.py
+++ b/review/common_case.py
@@ -60,7 +60,7 @@
 
 
 async def start_load(world, feeds_each=4, orderers_each=2, flow_for_each=False):
-    world.stopping, world.orders = False, []
+    world.orders = []
     for zone in world.zones:
         for number in range(1, feeds_each + 1):
             client = await world.add_client(zone, number)
--- a/review/standins.py
+++ b/review/standins.py
@@ -256,6 +256,8 @@
         self.controls, self.acknowledged = list(world.controls), []
         self.alive, self.tasks, self.udp, self.tcp = False, [], None, None
         self.leaving_acknowledged_at = None
+        # Daemons to which the path delays this server's calls by more than a second.
+        self.delayed = set()
 
     @property
     def tag(self):
@@ -287,7 +289,11 @@
         for _ in range(len(self.controls)):
             self.seq += 1
             state, target = self.state, self.controls[0]
-            status, _ = await self.world.call(target.ip, "POST", f"/Instances.Heartbeat/{self.id}", self.body())
+            if target in self.delayed:
+                await asyncio.sleep(1.0)
+                status = 0
+            else:
+                status, _ = await self.world.call(target.ip, "POST", f"/Instances.Heartbeat/{self.id}", self.body())
             if 200 <= status < 300:
                 self.acknowledged.append((time.monotonic(), target.name, state))
                 if state == "draining" and self.leaving_acknowledged_at is None:
@@ -427,6 +433,7 @@
 
     async def open(self):
         """Returns whether a server has accepted the flow."""
+        started_at = time.monotonic()
         self.client.flows[self.port] = self
         for copy, wait_s in enumerate((0.2, 0.4, 0.8)):
             if self.stream or self.ended:
@@ -440,6 +447,8 @@
             self.ended = "no answer to the handshake"
         if self.stream:
             self.stream.acknowledge()
+        if self.ended:
+            self.world.failed_openings.append((started_at, self.ended))
         return self.stream is not None and not self.ended
 
     def receive(self, packet):
@@ -480,6 +489,7 @@
         identifier = self.world.next_request()
         self.stream.write(f"{method} {path} HTTP/1.1\r\nHost: {self.world.virtual_ip}\r\nX-Request-Id: {identifier}\r\n"
                           f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        self.world.sent.append((time.monotonic(), identifier))
         self.world.log(f"sent request={identifier} port={self.service_port} flow={self.client.ip}:{self.port}")
         end = time.monotonic() + deadline_s
         while time.monotonic() < end:
@@ -489,6 +499,7 @@
                 if not content.startswith(f"answer to {identifier} of ".encode()):
                     self.world.break_rule(f"MIXED: request {identifier} got another request's answer")
                 self.world.log(f"answered request={identifier} stamp={stamp}")
+                self.world.answered.add(identifier)
                 return identifier, stamp
             if self.ended:
                 break
@@ -550,7 +561,8 @@
         self.violations, self.runs, self.request_count = [], {}, 0
         self.controls, self.balancers, self.seeds, self.servers, self.clients, self.tasks = [], [], [], [], [], []
         self.zones = ["be-east-a", "be-east-b", "be-east-c"]
-        self.routes, self.services, self.version, self.ended_flows = {}, [], 0, []
+        self.ended_flows, self.sent, self.answered, self.failed_openings = [], [], set(), []
+        self.stopping = False
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bilberryyard-review-"))
         try:
             with open(REPOSITORY / "deploy" / "system.toml", "rb") as file:
@@ -701,6 +713,11 @@
         self.log(f"flow {flow.client.ip}:{flow.port} to port {flow.service_port} {how}; "
                  f"its server {server.id + ' lives' if server else 'is not known'}")
 
+    def count_attempts(self, since, until):
+        """Attempts to open a flow in the span that were reset, and those that got no answer."""
+        failed = [how for at, how in self.failed_openings if since <= at < until]
+        return sum(how.startswith("reset") for how in failed), sum(not how.startswith("reset") for how in failed)
+
     def all_in_touch(self, now):
         return all(now - daemon.disturbed_at > STABLE_S for daemon in self.controls + self.balancers)
 
