--- a/review/1/run.py
+++ b/review/1/run.py
@@ -10,7 +10,7 @@
 import standins  # noqa: E402
 
 UNREADABLE_ID = "%FF%FE"
-CORE_DOWN_S, FRONT_DOWN_S, RECOVER_S, MEASURED_S = 1.1, 2.6, 12.0, 10.0
+CORE_DOWN_S, FRONT_DOWN_S, RECOVER_S, MEASURED_S = 1.1, 3.5, 12.0, 10.0
 
 
 async def write_heartbeats(world, daemon, number):
