Fleet: Log messages of other hosts that cannot be decoded

A host dropped such messages and only counted them in peer_messages_refused.

The line names the sender, the size and the reason, at most five a second.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -30,6 +30,7 @@
         events::readinessChanged,
         events::directoryPageReceived,
         events::serversLate,
+        events::peerMessageRefused,
         events::configurationInForce,
         events::configurationRefused,
         events::configurationNotSaved,
--- a/Services/Fleet/peer_channel.cpp
+++ b/Services/Fleet/peer_channel.cpp
@@ -1,5 +1,7 @@
 #include "peer_channel.h"
 
+#include <Base/error_kind.h>
+#include <Base/event_logger.h>
 #include <Fleet/fleet_codec.h>
 #include <random>
 
@@ -42,11 +44,22 @@
     auto message = decodeFleetMessage(*bytes);
     if (!message.ok()) {
         ++m_refused;
+        logRefusal(datagram.sender, bytes->size(), message.status(), now);
         return std::nullopt;
     }
     return received_message { datagram.sender, *std::move(message) };
 }
 
+void peer_channel::logRefusal(
+    ip_endpoint const& sender, size_t bytes, absl::Status const& status, monotonic_time now)
+{
+    if (!m_refusalLines.tryAcquire(now))
+        return;
+    event_logger { "peers" }.emit(events::peerMessageRefused,
+        "from=" + sender.toText() + " bytes=" + std::to_string(bytes) + " refused=" + std::to_string(refused())
+            + " reason=\"" + messageOf(status) + "\"");
+}
+
 void peer_channel::send(ip_endpoint const& receiver, fleet_message const& message)
 {
     sendEncoded(receiver, encodeFleetMessage(message));
--- a/Services/Fleet/peer_channel.h
+++ b/Services/Fleet/peer_channel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Base/line_budget.h>
 #include <Fleet/fleet_message.h>
 #include <Transport/datagram_fragments.h>
 #include <Transport/datagram_socket.h>
@@ -38,8 +39,13 @@
     uint64_t refused() const { return m_refused + m_assembler.refused(); }
 
 private:
+    /// A message that a receiver refuses is requested again, so each one may be logged many times.
+    static constexpr uint32_t refusalLinesPerSecond = 5;
+
     explicit peer_channel(datagram_socket socket);
+    void logRefusal(ip_endpoint const& sender, size_t bytes, absl::Status const& status, monotonic_time now);
 
+    line_budget m_refusalLines { refusalLinesPerSecond };
     datagram_socket m_socket;
     datagram_assembler m_assembler;
     std::vector<uint8_t> m_buffer;
