Fleet: Refuse announcements without a readable identifier, read the other records

Callers saw: after heartbeats of another writer, whose identifier in the path is no UTF-8 text, and a power loss, no balancer became ready and every attempt to open a flow was reset; a rolling restart of the balancers has the same effect.

Cause: control hosts accepted any bytes as an identifier. Messages between hosts and the file of saved servers held it in a protobuf field of type string. The encoder writes such bytes, but the parser refuses the whole message, and with it all other servers: pages, updates, and requests whose cursor names the record.

Change: findDefect() decides in one place what names a usable server.

Seen to fail without the change: announcement_without_a_readable_identifier_is_ refused (4 checks) and all 6 rows of unusable_record_does_not_hide_the_others.

--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -1,6 +1,7 @@
 #include <Fleet/fleet_codec.h>
 
 #include <Base/error_kind.h>
+#include <Membership/announcement_check.h>
 #include <Messages/fleet.pb.h>
 #include <algorithm>
 #include <map>
@@ -329,7 +330,8 @@
             auto announcement = read(record);
             if (!announcement.ok())
                 return announcement.status();
-            result.records.push_back(*std::move(announcement));
+            if (findDefect(announcement->announcement) == announcement_defect::None)
+                result.records.push_back(*std::move(announcement));
         }
         result.renewed.assign(source.renewed().begin(), source.renewed().end());
         auto late = readAges(source.late(), source.late_age_ms());
@@ -386,7 +388,8 @@
             auto decoded = read(record, source);
             if (!decoded.ok())
                 return decoded.status();
-            result.records.push_back(*std::move(decoded));
+            if (findDefect(decoded->server.announcement) == announcement_defect::None)
+                result.records.push_back(*std::move(decoded));
         }
         result.cursor = read(source.cursor());
         result.next = read(source.next());
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -113,6 +113,11 @@
     // A change that is accepted now would not be sent to balancers.
     if (m_isStopped)
         return makeError(error_kind::Unavailable, stoppingText);
+    if (auto const defect = findDefect(announcement); defect != announcement_defect::None) {
+        logUnusable(announcement, nameOf(defect));
+        return makeError(
+            error_kind::InvalidArgument, "the " + std::string(nameOf(defect)) + " of the server cannot be used");
+    }
     auto const effect = m_feed.announce(announcement, bootTime());
     m_metrics.counter("announcements_total").add();
     if (effect == announcement_effect::Added || effect == announcement_effect::Changed) {
@@ -129,6 +134,19 @@
     return effect;
 }
 
+void control_service::logUnusable(backend_announcement const& announcement, std::string_view reason)
+{
+    m_metrics.counter("announcements_refused_" + std::string(reason) + "_total").add();
+    std::lock_guard const lock(m_announcementLinesMutex);
+    if (!m_announcementLines.tryAcquire(bootTime()))
+        return;
+    // An identifier with a defect may contain anything that would make the log unreadable.
+    bool const isReadable = reason != nameOf(announcement_defect::Identifier);
+    m_logger.emit(events::announcementRefused,
+        "server=" + (isReadable ? announcement.id : "-")
+            + " identifier_bytes=" + std::to_string(announcement.id.size()) + " reason=" + std::string(reason));
+}
+
 template <typename Function>
 document_response control_service::runOnServiceThread(Function function)
 {
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -14,6 +14,7 @@
 #include <Kernel/bounded_mailbox.h>
 #include <Kernel/metrics_registry.h>
 #include <Kernel/wake_signal.h>
+#include <Membership/announcement_check.h>
 #include <absl/status/statusor.h>
 #include <atomic>
 #include <functional>
@@ -41,7 +42,8 @@
         fleet_settings const& settings, route_reader readRoutes, seed_source seeds, metrics_registry& metrics);
 
     /// Applies an announcement of a backend server; its state is Gone if the server has left. Called from any thread.
-    /// @return Its effect; Unavailable if the service has stopped, so that the server announces itself elsewhere.
+    /// @return Its effect; InvalidArgument if it names no usable server; Unavailable if the service has stopped, so that
+    ///     the server announces itself elsewhere.
     absl::StatusOr<announcement_effect> announce(backend_announcement const& announcement);
 
     /// Stores a document. Blocks until the result is known or a timeout expires; must not be called on the thread of
@@ -72,6 +74,8 @@
     control_service(fleet_settings const& settings, route_reader readRoutes, seed_source seeds,
         metrics_registry& metrics, peer_channel channel, wake_signal wake);
 
+    /// Counts and logs an announcement that does not enter the directory.
+    void logUnusable(backend_announcement const& announcement, std::string_view reason);
     template <typename Function>
     document_response runOnServiceThread(Function function);
     /// Sends the last changes and waits until the calls in progress have returned.
--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -467,6 +467,31 @@
     }
 }
 
+// Guards against a heartbeat of another writer, with an identifier that is no text, after which no balancer can read the
+// directory or its saved copy (review case 1).
+BOOST_FIXTURE_TEST_CASE(announcement_without_a_readable_identifier_is_refused, control_fixture)
+{
+    auto const settings = settingsOf(1, { 1, 2, 3 });
+    {
+        running_control_host const first(settings, metrics);
+        running_control_host const second(settingsOf(2, { 1, 2, 3 }), metrics);
+        BOOST_REQUIRE(storeAtLeader({ first.service.get(), second.service.get() }, 5));
+        backend_announcement announcement;
+        announcement.service = "orders";
+        announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
+        announcement.id = "\xff\xfe\x30";
+        BOOST_CHECK(errorKindOf(first.service->announce(announcement).status()) == error_kind::InvalidArgument);
+        BOOST_TEST(metrics.counter("announcements_refused_identifier_total").value() == 1u);
+        announcement.id = "i-1";
+        BOOST_REQUIRE(first.service->announce(announcement).ok());
+        std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    }
+    running_control_host const restartedHost(settings, metrics);
+    balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
+    BOOST_TEST(probe.waitUntilReady(std::chrono::seconds(1)));
+    BOOST_TEST(probe.router.pool().readyCount("orders") == 1u);
+}
+
 // Guards against a host that lost its disk and cannot join the group again.
 BOOST_FIXTURE_TEST_CASE(host_with_an_empty_disk_joins_again, control_fixture)
 {
--- a/Tests/Fleet/test_fleet_codec.cpp
+++ b/Tests/Fleet/test_fleet_codec.cpp
@@ -121,4 +121,48 @@
     BOOST_CHECK(errorKindOf(decodeFleetMessage(row.bytes).status()) == error_kind::InvalidArgument);
 }
 
+aged_announcement recordWithId(std::string const& id)
+{
+    auto record = sampleRecord();
+    record.announcement.id = id;
+    return record;
+}
+
+struct record_row {
+    char const* name;
+    std::string id;
+};
+std::ostream& operator<<(std::ostream& stream, record_row const& row) { return stream << row.name; }
+
+record_row const unusableRows[] = {
+    { "bytes that are no text", "\xff\xfe\x30" },
+    { "truncated UTF-8", "i-\xc3" },
+    { "surrogate", "i-\xed\xa0\x80" },
+    { "overlong encoding", "i-\xc0\xaf" },
+    { "control character", "i-\n1" },
+    { "empty", "" },
+};
+
+// Guards against a record of another writer, with an identifier that is no text, that keeps receivers from reading all
+// other records of the same message (review case 1).
+BOOST_DATA_TEST_CASE(unusable_record_does_not_hide_the_others, unusableRows, row)
+{
+    directory_update const update { 1, 0, 1, { recordWithId("i-1"), recordWithId(row.id), recordWithId("i-2") }, {} };
+    auto const decodedUpdate = decodeFleetMessage(encodeFleetMessage(update));
+    BOOST_REQUIRE(decodedUpdate.ok());
+    auto const& records = std::get<directory_update>(*decodedUpdate).records;
+    BOOST_REQUIRE(records.size() == 2u);
+    BOOST_TEST(records[0].announcement.id == "i-1");
+    BOOST_TEST(records[1].announcement.id == "i-2");
+
+    auto page = samplePage();
+    page.records = { { recordWithId("i-1"), false, 0 }, { recordWithId(row.id), false, 0 } };
+    page.next.afterId = row.id;
+    auto const decodedPage = decodeFleetMessage(encodeFleetMessage(page));
+    BOOST_REQUIRE(decodedPage.ok());
+    BOOST_TEST(std::get<directory_page>(*decodedPage).records.size() == 1u);
+    // The receiver has to request the page after this one, whatever the sender's cursor holds.
+    BOOST_TEST((std::get<directory_page>(*decodedPage).next == page.next));
+}
+
 } // namespace
