Membership: Derive who has an address instead of ending the other server

Callers saw: after one heartbeat with a service that no configuration names, at the address of a live server, every balancer reset all open flows of that server and sent it no new ones until it started again.

Cause: any announcement with a later start time took the address, and the directory stored the state Gone in the entry of the other server. From then on all announcements of that start were ignored, at this host and, since the state was sent to the others, at all of them.

Change: an entry keeps what its server announced. Whether another server has its address follows from the entries that announce it and the services of the configuration (backend_directory::supersedes): only a server of a configured service takes an address, the one seen 4 s later before the one with the later start, and nobody before a configuration is known. So the order of events does not matter, nothing about it is sent, and a server that was displaced in error returns. Under one identifier, an announcement of an unconfigured service that would move a live server is deferred until a configuration names the service. New: event 411 server_displaced, the counter announcements_refused_ unconfigured_service_total and the gauge balancer_contested_addresses.

Tests that expect displacement set a configuration first.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -31,6 +31,7 @@
         events::directoryPageReceived,
         events::serversLate,
         events::peerMessageRefused,
+        events::serverDisplaced,
         events::configurationInForce,
         events::configurationRefused,
         events::configurationNotSaved,
--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -48,6 +48,7 @@
     inline constexpr log_event directoryPageReceived { 408, log_severity::Information, "directory_page_received" };
     inline constexpr log_event serversLate { 409, log_severity::Warning, "servers_late" };
     inline constexpr log_event peerMessageRefused { 410, log_severity::Warning, "peer_message_refused" };
+    inline constexpr log_event serverDisplaced { 411, log_severity::Information, "server_displaced" };
     inline constexpr log_event configurationInForce { 500, log_severity::Information, "configuration_in_force" };
     inline constexpr log_event configurationRefused { 501, log_severity::Error, "configuration_refused" };
     inline constexpr log_event configurationNotSaved { 502, log_severity::Warning, "configuration_not_saved" };
--- a/Libraries/Membership/backend_directory.cpp
+++ b/Libraries/Membership/backend_directory.cpp
@@ -15,16 +15,101 @@
     return entry == m_entries.end() ? nullptr : &entry->second;
 }
 
-std::string const* backend_directory::ownerOf(ip_endpoint const& address) const
+std::vector<std::string> const& backend_directory::claimantsOf(ip_endpoint const& address) const
 {
-    auto const owner = m_addressOwners.find(address);
-    return owner == m_addressOwners.end() ? nullptr : &owner->second;
+    static std::vector<std::string> const none;
+    auto const claimants = m_claimants.find(address);
+    return claimants == m_claimants.end() ? none : claimants->second;
+}
+
+bool backend_directory::isConfigured(backend_announcement const& announcement) const
+{
+    return m_services && m_services->contains(announcement.service);
+}
+
+bool backend_directory::mustDefer(
+    backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const
+{
+    bool const isLive = known.announcement.state != backend_state::Gone
+        && receivedAt - known.lastSeenAt < m_settings.announcementTimeout;
+    // With an unchanged address the open flows of the server stay where they are.
+    return m_services && !isConfigured(announcement) && isConfigured(known.announcement) && isLive
+        && announcement.address != known.announcement.address;
+}
+
+bool backend_directory::supersedes(backend_entry const& candidate, backend_entry const& other) const
+{
+    // Any program may announce any address. Only an announcement of a configured service is evidence of a new server.
+    if (!isConfigured(candidate.announcement))
+        return false;
+    // Wall clocks can step back, so the start times matter only while both were seen at about the same time.
+    auto const lead = candidate.lastSeenAt - other.lastSeenAt;
+    if (lead >= m_settings.announcementTimeout)
+        return true;
+    if (lead <= -m_settings.announcementTimeout)
+        return false;
+    bool const hasLeft = candidate.announcement.state == backend_state::Gone;
+    if (hasLeft && other.announcement.state != backend_state::Gone && lead <= duration::zero())
+        return false;
+    return !isConfigured(other.announcement) || candidate.announcement.startedAtMs > other.announcement.startedAtMs;
+}
+
+void backend_directory::reevaluate(ip_endpoint const& address)
+{
+    auto const& claimants = claimantsOf(address);
+    for (auto const& id : claimants) {
+        auto& entry = m_entries.at(id);
+        auto const successor = std::find_if(claimants.begin(), claimants.end(),
+            [&](auto const& other) { return other != id && supersedes(m_entries.at(other), entry); });
+        auto const displacedBy = successor == claimants.end() ? std::string() : *successor;
+        if (displacedBy.empty() != entry.displacedBy.empty())
+            m_displacementChanges.push_back(id);
+        entry.displacedBy = displacedBy;
+    }
+}
+
+void backend_directory::reevaluateAddresses()
+{
+    for (auto const& address : m_contestedAddresses)
+        reevaluate(address);
+}
+
+void backend_directory::setServices(std::set<std::string> services)
+{
+    m_services = std::move(services);
+    reevaluateAddresses();
+}
+
+void backend_directory::addClaim(backend_announcement const& announcement)
+{
+    // A leave of an unknown server has no address.
+    if (announcement.address.port == 0)
+        return;
+    auto& claimants = m_claimants[announcement.address];
+    claimants.push_back(announcement.id);
+    if (claimants.size() > 1)
+        m_contestedAddresses.insert(announcement.address);
+}
+
+void backend_directory::removeClaim(backend_announcement const& announcement)
+{
+    auto const claimants = m_claimants.find(announcement.address);
+    if (claimants == m_claimants.end())
+        return;
+    std::erase(claimants->second, announcement.id);
+    if (claimants->second.size() <= 1)
+        m_contestedAddresses.erase(announcement.address);
+    if (claimants->second.empty())
+        m_claimants.erase(claimants);
 }
 
 bool backend_directory::isOutdated(
     backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const
 {
     auto const& stored = known.announcement;
+    // Another program may have announced the identifier with any start time and sequence number.
+    if (m_services && !isConfigured(stored) && isConfigured(announcement) && stored.state != backend_state::Gone)
+        return false;
     bool const hadTimedOut = receivedAt - known.lastSeenAt >= m_settings.announcementTimeout;
     if (announcement.startedAtMs == stored.startedAtMs) {
         if (stored.state == backend_state::Gone)
@@ -42,28 +127,15 @@
         && entry.announcement.startedAtMs == announcement.startedAtMs;
     if (!wasLeaving && announcement.state != backend_state::Ready)
         entry.leavingSince = now;
-    entry.announcement = announcement;
+    auto const previous = std::exchange(entry.announcement, announcement);
     entry.revision = ++m_revision;
-}
-
-bool backend_directory::claimAddress(
-    backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now)
-{
-    auto const owner = m_addressOwners.find(announcement.address);
-    if (owner != m_addressOwners.end() && owner->second != announcement.id) {
-        auto& other = m_entries.at(owner->second);
-        if (other.announcement.state != backend_state::Gone) {
-            bool const isLater = announcement.startedAtMs > other.announcement.startedAtMs
-                || receivedAt - other.lastSeenAt >= m_settings.announcementTimeout;
-            if (!isLater)
-                return false;
-            auto goneAnnouncement = other.announcement;
-            goneAnnouncement.state = backend_state::Gone;
-            updateEntry(other, goneAnnouncement, now);
-        }
-    }
-    m_addressOwners[announcement.address] = announcement.id;
-    return true;
+    if (previous.address == announcement.address && previous.id == announcement.id)
+        return reevaluate(announcement.address);
+    removeClaim(previous);
+    addClaim(announcement);
+    entry.displacedBy.clear();
+    reevaluate(previous.address);
+    reevaluate(announcement.address);
 }
 
 announcement_effect backend_directory::apply(
@@ -72,10 +144,6 @@
     auto const known = m_entries.find(announcement.id);
     if (announcement.state == backend_state::Gone)
         return applyLeave(announcement, receivedAt, now);
-    if (known != m_entries.end() && isOutdated(known->second, announcement, receivedAt))
-        return announcement_effect::Ignored;
-    if (!claimAddress(announcement, receivedAt, now))
-        return announcement_effect::Ignored;
     if (known == m_entries.end()) {
         auto& entry = m_entries[announcement.id];
         entry.lastSeenAt = receivedAt;
@@ -83,6 +151,10 @@
         return announcement_effect::Added;
     }
     auto& entry = known->second;
+    if (isOutdated(entry, announcement, receivedAt))
+        return announcement_effect::Ignored;
+    if (mustDefer(entry, announcement, receivedAt))
+        return announcement_effect::Deferred;
     entry.lastSeenAt = std::max(entry.lastSeenAt, receivedAt);
     auto comparable = announcement;
     comparable.sequence = entry.announcement.sequence;
@@ -93,6 +165,8 @@
     if (comparable == entry.announcement && !startedWarmUp) {
         entry.announcement.sequence = announcement.sequence;
         entry.announcement.remainingWarmUp = announcement.remainingWarmUp;
+        if (m_contestedAddresses.contains(announcement.address))
+            reevaluate(announcement.address);
         return announcement_effect::Renewed;
     }
     updateEntry(entry, announcement, now);
@@ -138,10 +212,10 @@
     }
     for (auto const& id : removed) {
         auto const entry = m_entries.find(id);
-        auto const owner = m_addressOwners.find(entry->second.announcement.address);
-        if (owner != m_addressOwners.end() && owner->second == id)
-            m_addressOwners.erase(owner);
+        auto const address = entry->second.announcement.address;
+        removeClaim(entry->second.announcement);
         m_entries.erase(entry);
+        reevaluate(address);
     }
     return removed;
 }
--- a/Libraries/Membership/backend_directory.h
+++ b/Libraries/Membership/backend_directory.h
@@ -3,13 +3,16 @@
 #include <Membership/backend_announcement.h>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bilberryyard {
 
 struct backend_directory_settings {
-    /// An incarnation whose latest announcement is older than this is replaced by another incarnation with its
+    /// An incarnation whose latest announcement is older than this is superseded by another incarnation with its
     /// identifier or address, even by one with an earlier start time, because wall clocks can step back. Spans several
     /// announcement intervals.
     duration announcementTimeout = std::chrono::milliseconds(4'000);
@@ -22,6 +25,9 @@
 enum class announcement_effect : uint8_t {
     /// Older than the stored announcement, or from an incarnation that has ended.
     Ignored,
+    /// No configuration names its service, and it would move a server of a configured service to another address. It
+    /// may be applied again when the configuration or the liveness of that server has changed.
+    Deferred,
     /// The announcement only confirms that the server is alive.
     Renewed,
     Changed,
@@ -30,6 +36,7 @@
 
 /// One server of a backend_directory.
 struct backend_entry {
+    /// What the server itself has announced last.
     backend_announcement announcement;
     /// When a control host last received an announcement of the server.
     monotonic_time lastSeenAt;
@@ -37,10 +44,19 @@
     monotonic_time leavingSince;
     /// Directory revision of the last change other than a renewal.
     uint64_t revision = 0;
+    /// Identifier of the server that has taken over the address; empty if there is none.
+    std::string displacedBy {};
+
+    /// @return The announced state; Gone if another server has taken over the address.
+    backend_state state() const { return displacedBy.empty() ? announcement.state : backend_state::Gone; }
 };
 
 /// The backend servers that announce themselves. Announcements may arrive late, repeatedly, out of order and after
 /// the failure of their sender; the latest announcement of a server's latest incarnation takes precedence.
+///
+/// Several servers may announce one address, one after another or by mistake. Which of them has it is derived from
+/// their entries and the services of the configuration, and never stored in place of an announcement. So it does not
+/// depend on the order in which announcements arrive, and a server that was displaced in error returns.
 class backend_directory {
 public:
     explicit backend_directory(backend_directory_settings const& settings = {});
@@ -54,6 +70,18 @@
     /// @param receivedAt When a control host received its announcement.
     void renew(std::string const& id, monotonic_time receivedAt);
 
+    /// Replaces the services that the configuration names. Before the first call no server displaces another one.
+    void setServices(std::set<std::string> services);
+
+    /// @return Whether the configuration names the service of the announcement.
+    bool isConfigured(backend_announcement const& announcement) const;
+
+    /// Derives again who has the addresses that several servers announce, as this depends on when they were last seen.
+    void reevaluateAddresses();
+
+    /// @return Identifiers of servers that were displaced, or returned, since the last call.
+    std::vector<std::string> drainDisplacementChanges() { return std::exchange(m_displacementChanges, {}); }
+
     /// Removes servers that were last seen longer ago than the retention.
     /// @return The identifiers of the removed servers.
     std::vector<std::string> expire(monotonic_time now);
@@ -61,8 +89,10 @@
     std::map<std::string, backend_entry> const& entries() const { return m_entries; }
     /// @return The entry, or nullptr for an unknown server.
     backend_entry const* find(std::string const& id) const;
-    /// @return Identifier of the server that currently uses the address, or nullptr.
-    std::string const* ownerOf(ip_endpoint const& address) const;
+    /// @return Addresses that several servers announce.
+    std::set<ip_endpoint> const& contestedAddresses() const { return m_contestedAddresses; }
+    /// @return Identifiers of the servers that announced the address last, in the order of their first announcements.
+    std::vector<std::string> const& claimantsOf(ip_endpoint const& address) const;
     /// @return A counter that increases with each change other than a renewal.
     uint64_t revision() const { return m_revision; }
     /// @return A new revision, for a change of a server that its entry does not contain.
@@ -71,15 +101,27 @@
 private:
     bool isOutdated(
         backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const;
-    bool claimAddress(backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now);
+    /// @return Whether the announcement would move a live server of a configured service to another address, although
+    ///     no configuration names its own service.
+    bool mustDefer(
+        backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const;
+    /// @return Whether `candidate` has taken over the address that both servers announce.
+    bool supersedes(backend_entry const& candidate, backend_entry const& other) const;
     announcement_effect applyLeave(
         backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now);
     void updateEntry(backend_entry& entry, backend_announcement const& announcement, monotonic_time now);
+    void addClaim(backend_announcement const& announcement);
+    void removeClaim(backend_announcement const& announcement);
+    void reevaluate(ip_endpoint const& address);
 
     backend_directory_settings m_settings;
     std::map<std::string, backend_entry> m_entries;
-    /// Identifier of the server that currently uses each address.
-    std::map<ip_endpoint, std::string> m_addressOwners;
+    /// Identifiers of the servers that announce each address, including those that have left.
+    std::map<ip_endpoint, std::vector<std::string>> m_claimants;
+    std::set<ip_endpoint> m_contestedAddresses;
+    /// Services that the configuration names; nullopt before the first configuration.
+    std::optional<std::set<std::string>> m_services;
+    std::vector<std::string> m_displacementChanges;
     uint64_t m_revision = 0;
 };
 
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -50,6 +50,12 @@
     }
 }
 
+void backend_pool::setDisplacement(std::string const& id, std::string const& displacedBy)
+{
+    if (auto* const backend = find(flowToken(id)))
+        backend->entry.displacedBy = displacedBy;
+}
+
 void backend_pool::setLiveness(uint32_t token, server_liveness const& liveness)
 {
     if (auto* const backend = find(token)) {
@@ -94,12 +100,12 @@
     if (tokens == m_services.end())
         return 0;
     return static_cast<size_t>(std::count_if(tokens->second.begin(), tokens->second.end(),
-        [&](uint32_t token) { return m_backends.at(token).entry.announcement.state == backend_state::Ready; }));
+        [&](uint32_t token) { return m_backends.at(token).entry.state() == backend_state::Ready; }));
 }
 
 bool backend_pool::meets(pooled_backend const& backend, required_condition level, monotonic_time now) const
 {
-    auto const state = backend.entry.announcement.state;
+    auto const state = backend.entry.state();
     if (level == required_condition::RecentlyDraining)
         return state == backend_state::Draining && now - backend.entry.leavingSince <= m_settings.handshakeTimeout;
     if (state != backend_state::Ready)
@@ -126,7 +132,7 @@
         = backend.load.retransmissionsSinceResponse > 0 && now - backend.load.lastResponseAt > m_settings.responseGap;
     if (isUnresponsive || backend.load.ejectedUntil > now)
         return false;
-    switch (backend.entry.announcement.state) {
+    switch (backend.entry.state()) {
     case backend_state::Ready:
         return true;
     case backend_state::Draining:
@@ -227,7 +233,7 @@
     size_t ejected = 0;
     for (auto const token : tokens) {
         auto const& backend = m_backends.at(token);
-        if (backend.entry.announcement.state != backend_state::Ready)
+        if (backend.entry.state() != backend_state::Ready)
             continue;
         ++ready;
         ejected += token != candidate.token && backend.load.ejectedUntil > now ? 1 : 0;
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -49,6 +49,9 @@
     /// Adds a server or applies its newer directory entry. A new incarnation resets the ejection state.
     /// @param now Start of the remaining warm-up that the entry states.
     void update(backend_entry const& entry, monotonic_time now);
+    /// Records which server has taken over the address of this one.
+    /// @param displacedBy Empty if the server has its address. Ignores unknown servers.
+    void setDisplacement(std::string const& id, std::string const& displacedBy);
     /// Records when the server was last known to be alive. Ignores unknown tokens.
     void setLiveness(uint32_t token, server_liveness const& liveness);
     /// @param id Identifier of a server that the directory has removed.
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -137,7 +137,7 @@
     auto* const backend = m_pool.find(token);
     if (!backend)
         return discard_packet { discard_reason::UnknownToken };
-    if (backend->entry.announcement.state == backend_state::Gone) {
+    if (backend->entry.state() == backend_state::Gone) {
         m_observer.removeFlow(packet.flowEndpoints);
         if (packet.purpose == packet_purpose::Abort)
             return discard_packet { discard_reason::UnknownToken };
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -133,12 +133,30 @@
         auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry->lastSeenAt);
         m_logger.emit(events::serverAnnounced,
             "server=" + id + " service=" + entry->announcement.service
-                + " state=" + std::to_string(static_cast<int>(entry->announcement.state))
+                + " state=" + std::to_string(static_cast<int>(entry->state()))
                 + " sequence=" + std::to_string(entry->announcement.sequence) + " age_ms=" + std::to_string(age.count())
                 + " from=" + m_links[sender].name);
     }
     for (auto const& [token, liveness] : changes.renewed)
         m_router.pool().setLiveness(token, liveness);
+    applyDisplacements(changes);
+}
+
+void balancer_control::applyDisplacements(directory_view::changes const& changes)
+{
+    auto const& directory = m_directory.view().directory();
+    size_t lineCount = 0;
+    for (auto const& id : changes.displaced) {
+        auto const* const entry = directory.find(id);
+        if (!entry)
+            continue;
+        m_router.pool().setDisplacement(id, entry->displacedBy);
+        if (lineCount++ < maximumListedServers)
+            m_logger.emit(events::serverDisplaced,
+                "server=" + id + " address=" + entry->announcement.address.toText()
+                    + " started=" + std::to_string(entry->announcement.startedAtMs)
+                    + " displaced_by=" + (entry->displacedBy.empty() ? "-" : entry->displacedBy));
+    }
 }
 
 void balancer_control::logLateServers(
@@ -159,13 +177,17 @@
             "count=" + std::to_string(lateCount) + " late_ms=" + late + " from=" + m_links[sender].name);
 }
 
-void balancer_control::setRoutes(ip_endpoint const& sender, route_table table)
+void balancer_control::setRoutes(ip_endpoint const& sender, route_table table, monotonic_time now)
 {
     auto const previousVersion = m_router.version();
     auto const version = table.version;
     auto const count = table.routes.size();
     if (!m_router.setRoutes(std::make_shared<route_table const>(std::move(table))))
         return;
+    std::set<std::string> services;
+    for (auto const& service : m_router.routes()->services)
+        services.insert(service.name);
+    applyChanges(sender, m_directory.view().setServices(std::move(services), now), server_lines::Logged, now);
     m_logger.emit(events::configurationInForce,
         "version=" + std::to_string(version) + " before=" + std::to_string(previousVersion)
             + " routes=" + std::to_string(count) + " from=" + m_links[sender].name);
@@ -174,7 +196,7 @@
 void balancer_control::handle(ip_endpoint const& sender, route_table const& message, monotonic_time now)
 {
     m_links[sender].lastSeenAt = now;
-    setRoutes(sender, message);
+    setRoutes(sender, message, now);
 }
 
 void balancer_control::handle(ip_endpoint const& sender, route_difference const& message, monotonic_time now)
@@ -184,7 +206,7 @@
         return;
     auto table = m_router.routes() ? applyRouteDifference(*m_router.routes(), message) : std::nullopt;
     if (table)
-        setRoutes(sender, *std::move(table));
+        setRoutes(sender, *std::move(table), now);
     else
         requestRoutes(sender, now);
 }
@@ -327,6 +349,7 @@
         return;
     sendHello(now);
     expireLinks(now);
+    applyChanges({}, m_directory.view().reevaluate(now), server_lines::Omitted, now);
     if (now - m_expiredAt >= expiryInterval) {
         m_expiredAt = now;
         for (auto const& id : m_directory.view().expire(now))
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -38,6 +38,9 @@
     /// @return Whether routes and servers are known, so that routers may send callers here.
     bool isReady() const { return m_router.version() > 0 && m_hasDirectory; }
 
+    /// @return Number of addresses that several servers announce.
+    size_t contestedAddressCount() const { return m_directory.view().directory().contestedAddresses().size(); }
+
     /// @return Number of control hosts that sent a message within the timeout.
     size_t reachableControlCount(monotonic_time now) const;
 
@@ -70,7 +73,7 @@
     duration helloPeriod(monotonic_time now) const;
     /// Requests the routes of a control host that has a newer version of them.
     void requestRoutes(ip_endpoint const& peer, monotonic_time now);
-    void setRoutes(ip_endpoint const& sender, route_table table);
+    void setRoutes(ip_endpoint const& sender, route_table table, monotonic_time now);
     /// Requests all servers from a reachable control host if no directory is known yet.
     void requestServers(ip_endpoint const& peer, monotonic_time now);
     /// Requests the next page of all servers until they have been received once.
@@ -87,6 +90,7 @@
     };
     void applyChanges(
         ip_endpoint const& sender, directory_view::changes const& changes, server_lines lines, monotonic_time now);
+    void applyDisplacements(directory_view::changes const& changes);
     void logLateServers(ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now);
     void sendAgeRequests(monotonic_time now);
     void expireLinks(monotonic_time now);
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -259,7 +259,7 @@
         auto const sinceLastSeen
             = std::chrono::duration_cast<std::chrono::milliseconds>(now - backend->liveness.latest());
         line << " server=" << backend->entry.announcement.id << " zone=" << backend->entry.announcement.zone
-             << " state=" << static_cast<int>(backend->entry.announcement.state) << " busy=" << load.busy
+             << " state=" << static_cast<int>(backend->entry.state()) << " busy=" << load.busy
              << " opening=" << load.opening << " open=" << load.open
              << " unanswered=" << load.retransmissionsSinceResponse << " slowness=" << load.slowness
              << " heard_ms=" << sinceLastSeen.count();
@@ -295,6 +295,7 @@
         m_metrics.distribution("backend_response_seconds").add(sample);
     m_metrics.setGauge("balancer_configuration_version", static_cast<double>(m_router.version()));
     m_metrics.setGauge("balancer_backends", static_cast<double>(m_router.pool().size()));
+    m_metrics.setGauge("balancer_contested_addresses", static_cast<double>(m_control.contestedAddressCount()));
     m_metrics.setGauge("balancer_observed_flows", static_cast<double>(m_router.observedFlows()));
     m_metrics.setGauge("peer_sent_bytes", static_cast<double>(m_channel.sentBytes()));
     m_metrics.setGauge("peer_received_bytes", static_cast<double>(m_channel.receivedBytes()));
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -120,6 +120,8 @@
     }
     auto const effect = m_feed.announce(announcement, bootTime());
     m_metrics.counter("announcements_total").add();
+    if (effect == announcement_effect::Deferred)
+        logUnusable(announcement, "unconfigured_service");
     if (effect == announcement_effect::Added || effect == announcement_effect::Changed) {
         m_wake.raise();
         std::lock_guard const lock(m_announcementLinesMutex);
@@ -143,8 +145,8 @@
     // An identifier with a defect may contain anything that would make the log unreadable.
     bool const isReadable = reason != nameOf(announcement_defect::Identifier);
     m_logger.emit(events::announcementRefused,
-        "server=" + (isReadable ? announcement.id : "-")
-            + " identifier_bytes=" + std::to_string(announcement.id.size()) + " reason=" + std::string(reason));
+        "server=" + (isReadable ? announcement.id : "-") + " identifier_bytes=" + std::to_string(announcement.id.size())
+            + " reason=" + std::string(reason));
 }
 
 template <typename Function>
@@ -474,6 +476,7 @@
     }
     m_encodedRoutes = encodeFleetMessage(*routes);
     m_routeHistory.add(*routes);
+    setServices(*routes, now);
     m_group.saveFile(routesFile, m_encodedRoutes);
 }
 
@@ -488,6 +491,7 @@
             m_routesVersion = std::get<route_table>(*message).version;
             m_routeHistory.add(std::get<route_table>(*message));
             m_encodedRoutes = *std::move(bytes);
+            setServices(std::get<route_table>(*message), now);
         } else {
             m_logger.emit(events::savedConfigurationDamaged, routesFile);
         }
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -42,7 +42,8 @@
         fleet_settings const& settings, route_reader readRoutes, seed_source seeds, metrics_registry& metrics);
 
     /// Applies an announcement of a backend server; its state is Gone if the server has left. Called from any thread.
-    /// @return Its effect; InvalidArgument if it names no usable server; Unavailable if the service has stopped, so that
+    /// @return Its effect; InvalidArgument if it names no usable server; Unavailable if the service has stopped, so
+    /// that
     ///     the server announces itself elsewhere.
     absl::StatusOr<announcement_effect> announce(backend_announcement const& announcement);
 
@@ -114,6 +115,8 @@
     directory_update allServers(monotonic_time now) const;
     /// @return A current copy of the directory in pages.
     directory_pages& pages(server_scope scope, monotonic_time now);
+    /// Makes the services of the routes known to both directories.
+    void setServices(route_table const& routes, monotonic_time now);
     /// Passes on to the own directory what other control hosts know about servers.
     void applyChanges(directory_view::changes const& changes);
     /// @return How long changes are collected before they are sent.
--- a/Services/Fleet/control_service_directory.cpp
+++ b/Services/Fleet/control_service_directory.cpp
@@ -107,6 +107,15 @@
     applyChanges(m_otherServers.apply(sender, message, now));
 }
 
+void control_service::setServices(route_table const& routes, monotonic_time now)
+{
+    std::set<std::string> services;
+    for (auto const& service : routes.services)
+        services.insert(service.name);
+    m_feed.setServices(services);
+    applyChanges(m_otherServers.view().setServices(std::move(services), now));
+}
+
 void control_service::applyChanges(directory_view::changes const& changes)
 {
     auto const& view = m_otherServers.view();
--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -29,11 +29,22 @@
     return comparable == known->second;
 }
 
+bool directory_feed::contradictsElsewhere(backend_announcement const& announcement) const
+{
+    auto const known = m_elsewhere.find(announcement.id);
+    return known != m_elsewhere.end() && announcement.state != backend_state::Gone
+        && m_directory.isConfigured(known->second) && !m_directory.isConfigured(announcement)
+        && known->second.state != backend_state::Gone && known->second.address != announcement.address;
+}
+
 announcement_effect directory_feed::announce(backend_announcement const& announcement, monotonic_time now)
 {
     std::lock_guard const lock(m_mutex);
+    // Heartbeats are repeated, so a server that is deferred in error is added with one of its next announcements.
+    if (contradictsElsewhere(announcement))
+        return announcement_effect::Deferred;
     auto const effect = m_directory.apply(announcement, now, now);
-    if (effect == announcement_effect::Ignored)
+    if (effect == announcement_effect::Ignored || effect == announcement_effect::Deferred)
         return effect;
     auto const token = flowToken(announcement.id);
     auto& state = m_states[announcement.id];
@@ -52,6 +63,12 @@
     return effect;
 }
 
+void directory_feed::setServices(std::set<std::string> services)
+{
+    std::lock_guard const lock(m_mutex);
+    m_directory.setServices(std::move(services));
+}
+
 void directory_feed::markLate(duration threshold, monotonic_time now)
 {
     std::lock_guard const lock(m_mutex);
@@ -211,6 +228,8 @@
 void directory_feed::expire(monotonic_time now)
 {
     std::lock_guard const lock(m_mutex);
+    // Receivers derive from the records who has an address.
+    m_directory.drainDisplacementChanges();
     for (auto const& id : m_directory.expire(now)) {
         m_states.erase(id);
         m_idsByToken.erase(flowToken(id));
--- a/Services/Fleet/directory_feed.h
+++ b/Services/Fleet/directory_feed.h
@@ -20,6 +20,9 @@
     /// @return Its effect; anything but a renewal should be sent to balancers at once.
     announcement_effect announce(backend_announcement const& announcement, monotonic_time now);
 
+    /// Replaces the services that the configuration names. Called from any thread.
+    void setServices(std::set<std::string> services);
+
     /// Reports servers as late whose announcements are overdue. If this process has been suspended or delayed, its view
     /// of all servers is old, and none is reported until they have had time to announce themselves again.
     /// @param threshold Time since the last announcement after which a server is late.
@@ -88,6 +91,9 @@
     };
 
     bool isKnownElsewhere(backend_announcement const& announcement) const;
+    /// @return Whether the announcement would move a server of a configured service, which announces itself to another
+    ///     control host, to another address, although no configuration names its own service.
+    bool contradictsElsewhere(backend_announcement const& announcement) const;
     directory_update changesAfter(uint64_t revision, monotonic_time now) const;
 
     mutable std::mutex m_mutex;
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -23,32 +23,57 @@
         m_directory.renew(id, server->second.liveness().latest());
 }
 
-void directory_view::applyRecord(aged_announcement const& record, std::shared_ptr<announcer_lease> const& announcer,
-    bool isLate, monotonic_time now, changes& result)
+void directory_view::refreshClaimants(ip_endpoint const& address)
+{
+    for (auto const& id : m_directory.claimantsOf(address))
+        refresh(id);
+}
+
+void directory_view::applyRecord(received_record const& record, monotonic_time now, changes& result)
 {
     auto const& announcement = record.announcement;
-    auto const* const knownOwner = m_directory.ownerOf(announcement.address);
-    auto const previousOwner = knownOwner ? *knownOwner : std::string();
     refresh(announcement.id);
-    refresh(previousOwner);
-    auto const lastSeenAt = now - record.age;
-    auto const effect = m_directory.apply(announcement, lastSeenAt, now);
+    refreshClaimants(announcement.address);
+    auto const effect = m_directory.apply(announcement, record.lastSeenAt, now);
+    if (effect == announcement_effect::Deferred) {
+        m_deferred[announcement.id] = record;
+        return;
+    }
     auto const token = flowToken(announcement.id);
     auto& server = m_servers[token];
     bool const isKnown = !server.id.empty();
     server.id = announcement.id;
     if (effect == announcement_effect::Ignored && isKnown)
         return;
-    server.announcer = announcer;
-    server.isLate = isLate;
-    server.lastSeenAt = lastSeenAt;
+    server.announcer = record.announcer;
+    server.isLate = record.isLate;
+    server.lastSeenAt = record.lastSeenAt;
     if (effect == announcement_effect::Added || effect == announcement_effect::Changed)
         result.changed.push_back(announcement.id);
     result.renewed.emplace_back(token, server.liveness());
-    if (effect == announcement_effect::Ignored || previousOwner.empty() || previousOwner == announcement.id)
-        return;
-    // The directory sets the earlier server at the address to Gone.
-    result.changed.push_back(previousOwner);
+}
+
+void directory_view::applyDeferredRecords(monotonic_time now, changes& result)
+{
+    for (auto const& [id, record] : std::exchange(m_deferred, {}))
+        applyRecord(record, now, result);
+}
+
+directory_view::changes directory_view::setServices(std::set<std::string> services, monotonic_time now)
+{
+    m_directory.setServices(std::move(services));
+    return reevaluate(now);
+}
+
+directory_view::changes directory_view::reevaluate(monotonic_time now)
+{
+    changes result;
+    applyDeferredRecords(now, result);
+    for (auto const& address : m_directory.contestedAddresses())
+        refreshClaimants(address);
+    m_directory.reevaluateAddresses();
+    result.displaced = m_directory.drainDisplacementChanges();
+    return result;
 }
 
 void directory_view::applyRenewals(
@@ -108,9 +133,10 @@
     else if (hasLease)
         result.isComplete = completeness::Gap;
     for (auto const& record : update.records)
-        applyRecord(record, announcer, false, now, result);
+        applyRecord({ record.announcement, now - record.age, announcer, false }, now, result);
     applyRenewals(update, feed, now, result);
     applyLateServers(update, feed, now, result);
+    result.displaced = m_directory.drainDisplacementChanges();
     // After a gap the lease could renew a server that the lost update reported as late.
     if (hasLease && result.isComplete == completeness::Complete)
         announcer->renewedAt = now;
@@ -130,8 +156,9 @@
                 = source.announcer != sender && feed.received.epoch != 0 && feed.received.epoch != source.epoch;
             announcer = isOutdated ? nullptr : leaseOf(feed, source.epoch);
         }
-        applyRecord(record.server, announcer, record.isLate, now, result);
+        applyRecord({ record.server.announcement, now - record.server.age, announcer, record.isLate }, now, result);
     }
+    result.displaced = m_directory.drainDisplacementChanges();
     return result;
 }
 
@@ -158,8 +185,10 @@
     for (auto const& [token, server] : m_servers)
         m_directory.renew(server.id, server.liveness().latest());
     auto removedIds = m_directory.expire(now);
-    for (auto const& id : removedIds)
+    for (auto const& id : removedIds) {
         m_servers.erase(flowToken(id));
+        m_deferred.erase(id);
+    }
     return removedIds;
 }
 
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -35,6 +35,8 @@
         std::vector<std::string> changed;
         /// Flow tokens of servers whose liveness changed by more than the renewal of a lease.
         std::vector<std::pair<uint32_t, server_liveness>> renewed;
+        /// Identifiers of servers whose address was taken over by another server, or that have it back.
+        std::vector<std::string> displaced;
         completeness isComplete = completeness::Complete;
     };
 
@@ -51,6 +53,12 @@
     /// that other host may not know the current one yet.
     void setForwardedPosition(feed_position const& received);
 
+    /// Replaces the services that the configuration names.
+    changes setServices(std::set<std::string> services, monotonic_time now);
+
+    /// Applies what depends on the time since servers were last seen. Called about once a second.
+    changes reevaluate(monotonic_time now);
+
     /// Removes expired entries.
     /// @return The identifiers of the removed servers.
     std::vector<std::string> expire(monotonic_time now);
@@ -82,17 +90,28 @@
         server_liveness liveness() const { return { lastSeenAt, isLate ? nullptr : announcer }; }
     };
 
+    /// A record as it was received.
+    struct received_record {
+        backend_announcement announcement;
+        monotonic_time lastSeenAt;
+        std::shared_ptr<announcer_lease> announcer;
+        bool isLate = false;
+    };
+
     static std::shared_ptr<announcer_lease> leaseOf(announcer_feed& feed, uint64_t epoch);
-    void applyRecord(aged_announcement const& record, std::shared_ptr<announcer_lease> const& announcer, bool isLate,
-        monotonic_time now, changes& result);
+    void applyRecord(received_record const& record, monotonic_time now, changes& result);
+    void applyDeferredRecords(monotonic_time now, changes& result);
     void applyRenewals(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
     void applyLateServers(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
     /// Updates the directory's own time of a server, so that its timeouts count from the latest lease.
     void refresh(std::string const& id);
+    void refreshClaimants(ip_endpoint const& address);
 
     backend_directory m_directory;
     std::map<ip_endpoint, announcer_feed> m_feeds;
     std::unordered_map<uint32_t, tracked_server> m_servers;
+    /// Records that the directory has deferred, by the identifier of the server.
+    std::map<std::string, received_record> m_deferred;
 };
 
 } // namespace bilberryyard
--- a/Services/Fleet/peer_channel.cpp
+++ b/Services/Fleet/peer_channel.cpp
@@ -50,8 +50,7 @@
     return received_message { datagram.sender, *std::move(message) };
 }
 
-void peer_channel::logRefusal(
-    ip_endpoint const& sender, size_t bytes, absl::Status const& status, monotonic_time now)
+void peer_channel::logRefusal(ip_endpoint const& sender, size_t bytes, absl::Status const& status, monotonic_time now)
 {
     if (!m_refusalLines.tryAcquire(now))
         return;
--- a/Tests/Fleet/test_directory.cpp
+++ b/Tests/Fleet/test_directory.cpp
@@ -105,4 +105,72 @@
     BOOST_CHECK(view.directory().find("i-1")->announcement.state == backend_state::Draining);
 }
 
+backend_announcement atAddress(std::string const& id, uint32_t address, int64_t startedAtMs, std::string const& service)
+{
+    auto result = announcementOf(id, 1);
+    result.address.address = ip_address::fromIpv4(address);
+    result.startedAtMs = startedAtMs;
+    result.service = service;
+    return result;
+}
+
+// Guards against a late heartbeat of a crashed server, received by a control host that has not seen its successor for
+// some seconds, which ends the flows of the successor (review case 4).
+BOOST_AUTO_TEST_CASE(late_announcement_displaces_no_server_that_another_control_host_confirms)
+{
+    auto const crashed = atAddress("i-1", 0x0a000001, 100, "orders");
+    auto successor = atAddress("i-2", 0x0a000001, 200, "orders");
+    directory_feed feed({}, 5);
+    directory_feed otherFeed({}, 6);
+    directory_view view;
+    view.setServices({ "orders" }, at(0));
+    // The successor announces itself to one control host, and then only to the other.
+    feed.announce(successor, at(0));
+    view.apply(control, *feed.drainChanges(at(0)), at(0));
+    successor.sequence = 2;
+    otherFeed.announce(successor, at(1'000));
+    view.apply(otherControl, *otherFeed.drainChanges(at(1'000)), at(1'000));
+    for (int now = 2'000; now <= 6'000; now += 400)
+        view.apply(otherControl, otherFeed.lease(), at(now));
+    feed.announce(crashed, at(6'000));
+    auto const changes = view.apply(control, *feed.drainChanges(at(6'000)), at(6'000));
+    BOOST_CHECK(view.directory().find("i-2")->state() == backend_state::Ready);
+    BOOST_CHECK(view.directory().find("i-1")->state() == backend_state::Gone);
+    BOOST_TEST((changes.displaced == std::vector<std::string> { "i-1" }));
+}
+
+// Guards against a record that is lost because it arrives before the configuration that names its service.
+BOOST_AUTO_TEST_CASE(deferred_record_is_applied_with_the_configuration_that_names_its_service)
+{
+    directory_view view;
+    view.setServices({ "orders" }, at(0));
+    auto const feedOf = [](uint64_t epoch, backend_announcement const& announcement) {
+        return directory_update { epoch, 0, 1, { { announcement, {} } }, {}, server_scope::Own, {},
+            lease_renewal::Yes };
+    };
+    view.apply(control, feedOf(5, atAddress("i-1", 0x0a000001, 100, "orders")), at(0));
+    view.apply(otherControl, feedOf(6, atAddress("i-1", 0x0a000002, 200, "gallery")), at(100));
+    BOOST_TEST(view.directory().find("i-1")->announcement.service == "orders");
+    auto const changes = view.setServices({ "orders", "gallery" }, at(200));
+    BOOST_TEST((changes.changed == std::vector<std::string> { "i-1" }));
+    BOOST_TEST(view.directory().find("i-1")->announcement.service == "gallery");
+    // The control host that the server announces itself to now confirms it.
+    view.apply(otherControl, { 6, 1, 1, {}, {}, server_scope::Own, {}, lease_renewal::Yes }, at(3'000));
+    BOOST_CHECK(view.livenessOf("i-1").latest() == at(3'000));
+}
+
+// Guards against an announcement of another program that reaches balancers through a control host to which the server
+// of the same identifier does not announce itself.
+BOOST_AUTO_TEST_CASE(announcement_that_contradicts_another_control_host_is_deferred)
+{
+    directory_feed feed({}, 5);
+    feed.setServices({ "orders" });
+    feed.recordElsewhere(atAddress("i-1", 0x0a000001, 100, "orders"));
+    auto const foreign = atAddress("i-1", 0x0a000002, 200, "nobody");
+    BOOST_CHECK(feed.announce(foreign, at(0)) == announcement_effect::Deferred);
+    BOOST_TEST(!feed.hasChanges());
+    feed.setServices({ "orders", "nobody" });
+    BOOST_CHECK(feed.announce(foreign, at(100)) == announcement_effect::Added);
+}
+
 } // namespace
