Platform: Bound the memory that a body takes while it is read

Cause: heartbeats were read like configurations, up to 8 MB, and the parser keeps objects and state for each level of nesting.

A core host has 256 MB.

--- a/Libraries/OperatorInterface/http_router.cpp
+++ b/Libraries/OperatorInterface/http_router.cpp
@@ -6,25 +6,40 @@
 
 namespace bilberryyard {
 
-void http_router::add(std::string const& prefix, http_handler handler) { m_handlers[prefix] = std::move(handler); }
+void http_router::add(std::string const& prefix, http_handler handler, size_t maximumBodySize)
+{
+    m_routes[prefix] = { std::move(handler), maximumBodySize };
+}
 
-http_response http_router::handle(http_request const& request) const
+http_router::route const* http_router::find(std::string const& path) const
 {
-    http_handler const* best = nullptr;
+    route const* best = nullptr;
     size_t bestLength = 0;
-    for (auto const& [prefix, handler] : m_handlers) {
-        bool const matches = request.path == prefix || request.path.starts_with(prefix + "/");
+    for (auto const& [prefix, candidate] : m_routes) {
+        bool const matches = path == prefix || path.starts_with(prefix + "/");
         if (matches && prefix.size() >= bestLength) {
-            best = &handler;
+            best = &candidate;
             bestLength = prefix.size();
         }
     }
+    return best;
+}
+
+size_t http_router::maximumBodySize(std::string const& path) const
+{
+    auto const* const best = find(path);
+    return best ? best->maximumBodySize : std::numeric_limits<size_t>::max();
+}
+
+http_response http_router::handle(http_request const& request) const
+{
+    auto const* const best = find(request.path);
     if (!best)
         return makeErrorResponse(
             request, makeError(error_kind::NotFound, "there is no path " + request.path.substr(0, 200)));
     // The caller is CivetWeb's C code, through which an exception must not propagate.
     try {
-        return (*best)(request);
+        return best->handler(request);
     } catch (std::exception const& exception) {
         return makeErrorResponse(request, makeError(error_kind::Internal, exception.what()));
     }
--- a/Libraries/OperatorInterface/http_router.h
+++ b/Libraries/OperatorInterface/http_router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <OperatorInterface/http_response.h>
+#include <limits>
 #include <map>
 #include <string>
 
@@ -11,14 +12,28 @@
 public:
     /// @param prefix "/v1/audit" matches itself and paths that start with "/v1/audit/".
     /// @param handler Replaces any earlier handler of the prefix.
-    void add(std::string const& prefix, http_handler handler);
+    /// @param maximumBodySize In bytes; a server refuses requests with a larger body before it reads them.
+    void add(
+        std::string const& prefix, http_handler handler, size_t maximumBodySize = std::numeric_limits<size_t>::max());
+
+    /// @return The largest body of a request with this path in bytes; the maximum for a path without a limit of its
+    /// own.
+    size_t maximumBodySize(std::string const& path) const;
 
     /// @return The handler's response; a NotFound response for a path without a handler, an Internal one when the
     ///     handler throws.
     http_response handle(http_request const& request) const;
 
 private:
-    std::map<std::string, http_handler> m_handlers;
+    struct route {
+        http_handler handler;
+        size_t maximumBodySize = 0;
+    };
+
+    /// @return The route with the longest matching prefix, or nullptr.
+    route const* find(std::string const& path) const;
+
+    std::map<std::string, route> m_routes;
 };
 
 } // namespace bilberryyard
--- a/Libraries/OperatorInterface/http_server.cpp
+++ b/Libraries/OperatorInterface/http_server.cpp
@@ -72,18 +72,18 @@
 
     // CivetWeb's timeout applies to each read. The deadline for the whole body stops clients that send single bytes.
     body_outcome readBody(
-        mg_connection* connection, long long contentLength, http_limits const& limits, std::string& body)
+        mg_connection* connection, long long contentLength, size_t maximumSize, duration timeout, std::string& body)
     {
-        if (contentLength > static_cast<long long>(limits.maximumBodySize))
+        if (contentLength > static_cast<long long>(maximumSize))
             return body_outcome::TooLarge;
-        auto const deadline = std::chrono::steady_clock::now() + limits.requestTimeout;
+        auto const deadline = std::chrono::steady_clock::now() + timeout;
         std::array<char, 16384> chunk;
         while (true) {
             int const count = mg_read(connection, chunk.data(), chunk.size());
             if (count <= 0)
                 break;
             body.append(chunk.data(), static_cast<size_t>(count));
-            if (body.size() > limits.maximumBodySize)
+            if (body.size() > maximumSize)
                 return body_outcome::TooLarge;
             if (std::chrono::steady_clock::now() > deadline)
                 return body_outcome::TimedOut;
@@ -139,13 +139,15 @@
     http_response makeResponse(mg_connection* connection, mg_request_info const& information) const
     {
         auto request = requestWithoutBody(information);
-        auto const outcome = readBody(connection, information.content_length, limits, request.body);
+        auto const maximumSize = std::min(limits.maximumBodySize, router.maximumBodySize(request.path));
+        auto const outcome
+            = readBody(connection, information.content_length, maximumSize, limits.requestTimeout, request.body);
         if (outcome == body_outcome::Complete)
             return router.handle(request);
         bool const tooLarge = outcome == body_outcome::TooLarge;
         auto response = makeErrorResponse(request,
             tooLarge ? makeError(error_kind::ResourceExhausted,
-                "the request body is larger than " + std::to_string(limits.maximumBodySize) + " bytes")
+                "the request body is larger than " + std::to_string(maximumSize) + " bytes")
                      : makeError(error_kind::DeadlineExceeded,
                          "the request body is incomplete or did not arrive within the timeout"));
         response.status = tooLarge ? contentTooLarge : requestTimedOut;
--- a/Tests/OperatorInterface/test_http_server.cpp
+++ b/Tests/OperatorInterface/test_http_server.cpp
@@ -34,6 +34,8 @@
     router.add("/size", [](http_request const& request) {
         return http_response { 200, "text/plain", {}, std::to_string(request.body.size()) };
     });
+    router.add(
+        "/size/small", [](http_request const&) { return http_response {}; }, 1'000);
     return router;
 }
 
@@ -100,6 +102,11 @@
     for (int index = 0; index < 200; ++index)
         chunked += "400\r\n" + std::string(1024, 'x') + "\r\n";
     BOOST_TEST(exchangeRaw(*server, chunked + "0\r\n\r\n").starts_with("HTTP/1.1 413"));
+    request.path = "/size/small/1";
+    request.body = std::string(1'000, 'x');
+    BOOST_TEST(exchange(*server, request).status == 200);
+    request.body += 'x';
+    BOOST_TEST(exchange(*server, request).status == 413);
 }
 
 struct raw_row {
--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -98,6 +98,58 @@
     BOOST_TEST(splitRoute.services[1].service == 1u);
 }
 
+std::string nested(std::string const& opening, std::string const& value, std::string const& closing, int depth)
+{
+    std::string result;
+    for (int level = 0; level < depth; ++level)
+        result += opening;
+    result += value;
+    for (int level = 0; level < depth; ++level)
+        result += closing;
+    return result;
+}
+
+struct nesting_row {
+    char const* name;
+    std::string value;
+};
+std::ostream& operator<<(std::ostream& stream, nesting_row const& row) { return stream << row.name; }
+
+nesting_row const nestingRows[] = {
+    { "arrays", nested("[", "", "]", 60) },
+    { "objects", nested(R"({"a":)", "1", "}", 60) },
+    { "wide array", "[" + nested("[],", "", "", 100'000) + "1]" },
+    { "brackets in a string", "\"" + nested("[\\\"{", "", "", 1'000) + "\"" },
+};
+
+// Guards against an unknown field of another writer that takes many times the memory of its text.
+BOOST_DATA_TEST_CASE(nested_values_of_unknown_fields_are_ignored, nestingRows, row)
+{
+    auto const announcement = readHeartbeat("i-1", replaced(heartbeat, "{", R"({"Extra":)" + row.value + ","));
+    BOOST_REQUIRE(announcement.ok());
+    BOOST_TEST(announcement->sequence == 4u);
+    BOOST_TEST(readLeave("i-1", R"({"Extra":)" + row.value + "}").ok());
+    BOOST_TEST(readConfiguration(replaced(configuration, "{", R"({"Extra":)" + row.value + ",")).ok());
+}
+
+nesting_row const deepRows[] = {
+    { "arrays", nested("[", "", "]", 100'000) },
+    { "objects", nested(R"({"a":)", "1", "}", 100'000) },
+    { "unclosed arrays", nested("[", "", "", 100'000) },
+};
+
+// Guards against a parser that keeps state for each of many levels.
+BOOST_DATA_TEST_CASE(deeply_nested_bodies_are_rejected, deepRows, row)
+{
+    auto const extra = R"({"Extra":)" + row.value + ",";
+    BOOST_CHECK(
+        errorKindOf(readHeartbeat("i-1", replaced(heartbeat, "{", extra)).status()) == error_kind::InvalidArgument);
+    BOOST_CHECK(
+        errorKindOf(readLeave("i-1", R"({"Extra":)" + row.value + "}").status()) == error_kind::InvalidArgument);
+    BOOST_CHECK(
+        errorKindOf(readConfiguration(replaced(configuration, "{", extra)).status()) == error_kind::InvalidArgument);
+}
+
 body_row const configurationRows[] = {
     { "no version", R"("Version":7,)", "" },
     { "version 0", R"("Version":7)", R"("Version":0)" },
--- a/Tests/Platform/test_node_process.cpp
+++ b/Tests/Platform/test_node_process.cpp
@@ -1,4 +1,5 @@
 // Tests of the program as a process on loopback addresses.
+#include <OperatorInterface/http_client.h>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -66,6 +67,17 @@
         }
     }
 
+    /// @return The largest resident memory of the process so far, in bytes.
+    size_t peakMemory() const
+    {
+        std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with("VmHWM:"))
+                return std::stoul(line.substr(6)) * 1024;
+        }
+        return 0;
+    }
+
     /// Sends SIGTERM and waits until the process has exited with status 0.
     /// @return The time until the exit.
     std::chrono::milliseconds stop()
@@ -123,4 +135,36 @@
     BOOST_TEST(node.output().find("daemon_stopped") != std::string::npos);
 }
 
+struct body_row {
+    char const* name;
+    char const* path;
+    std::string body;
+};
+std::ostream& operator<<(std::ostream& stream, body_row const& row) { return stream << row.name; }
+
+body_row const largeBodyRows[] = {
+    { "nested heartbeat", "/Instances.Heartbeat/i-1", std::string(4'000'000, '[') },
+    { "nested leave", "/Instances.Leave/i-1", std::string(4'000'000, '[') },
+    { "nested configuration", "/Config.Put", std::string(4'000'000, '[') },
+    { "wide heartbeat", "/Instances.Heartbeat/i-1", "{" + std::string(4'000'000, ',') },
+};
+
+// Guards against a call of any other program that makes a control host exceed its memory.
+BOOST_DATA_TEST_CASE(large_bodies_take_no_multiple_of_their_size, largeBodyRows, row)
+{
+    constexpr size_t copies = 8;
+    node_process node("control");
+    node.waitForOutput("member_started");
+    std::this_thread::sleep_for(300ms);
+    auto const before = node.peakMemory();
+    bilberryyard::http_request const request { "POST", row.path, {}, {}, row.body };
+    bilberryyard::endpoint const control { *bilberryyard::ip_address::parse("127.88.3.1"), 28'123 };
+    auto const exchange = bilberryyard::exchangeHttp(control, request, 5s);
+    // A server that refuses a body without reading it may reset the connection before its response is read.
+    if (exchange.response.ok())
+        BOOST_TEST(exchange.response->status / 100 == 4);
+    BOOST_TEST(node.peakMemory() - before <= copies * row.body.size());
+    node.stop();
+}
+
 } // namespace
