Platform: Limit numbers that would wrap around

What callers would see: with an IdleTimeoutMs near the largest number, balancers forget flows at once; a Priority of 2^32 becomes the highest; weights whose sum passes 2^64 are refused as 0. A start time beyond 63 bits was read as a negative one, and a sequence number of another writer near 2^64 made a server's own heartbeats count as late for 4 s.

Cause: numbers of 64 bits were converted to 32 bits and to nanoseconds as they are.

Seq and born beyond 2^53 - 1, which JSON does not carry exactly, name no server.

--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -53,6 +53,14 @@
     { "fraction", R"("Slots":3)", R"("Slots":2.5)" },
     { "no slots", R"("Slots":3)", R"("Slots":0)" },
     { "start time of another type", "1785320285162", R"("yesterday")" },
+    { "number with an exponent out of range", R"("Seq":4)", R"("Seq":1e999)" },
+    { "number with more than 64 bits", R"("Seq":4)", R"("Seq":99999999999999999999999)" },
+    { "number that is not exact in every implementation", R"("Seq":4)", R"("Seq":9007199254740992)" },
+    { "start time out of range", "1785320285162", "18446744073709551615" },
+    { "negative start time", "1785320285162", "-1" },
+    { "port out of range", ":8080", ":70000" },
+    { "negative port", ":8080", ":-1" },
+    { "port with many digits", ":8080", ":99999999999999999999" },
     { "truncated", R"(,"born":1785320285162})", "" },
     { "not an object", heartbeat.c_str(), "[1,2]" },
     { "not UTF-8", heartbeat.c_str(), "\xff\xfe{" },
@@ -98,6 +106,26 @@
     BOOST_TEST(splitRoute.services[1].service == 1u);
 }
 
+// Guards against a large number that wraps around: a limit that is as good as none then takes effect at once.
+BOOST_AUTO_TEST_CASE(numbers_of_a_configuration_do_not_wrap_around)
+{
+    auto text = replaced(configuration, R"("IdleTimeoutMs":15000)", R"("IdleTimeoutMs":18446744073709551615)");
+    text = replaced(text, R"("Priority":1)", R"("Priority":4294967296)");
+    text = replaced(text, R"("TimeoutMs":2500)", R"("TimeoutMs":9223372036854775807)");
+    text = replaced(text, R"("Weight":90)", R"("Weight":18446744073709551606)");
+    text = replaced(text, R"("MaxConns":2000)", R"("MaxConns":4294967297)");
+    auto const table = readConfiguration(text);
+    BOOST_REQUIRE(table.ok());
+    auto const largest = std::chrono::milliseconds(UINT32_MAX);
+    BOOST_CHECK(table->idleTimeout == largest);
+    auto const& route = table->routes.at({ ip_address::fromIpv4(0xc6120001), 8'080 });
+    BOOST_TEST(route.priority == UINT32_MAX);
+    BOOST_CHECK(route.timeout == largest);
+    BOOST_TEST(table->services[0].maximumConnections == UINT32_MAX);
+    auto const& split = table->routes.at({ ip_address::fromIpv4(0xc6120001), 8'443 });
+    BOOST_TEST(split.services[0].weight == UINT32_MAX);
+}
+
 std::string nested(std::string const& opening, std::string const& value, std::string const& closing, int depth)
 {
     std::string result;
