Fleet: Join the group after a removal instead of founding it again

What callers would see: with a spare control host, the disks of the control hosts are full (or the hosts suspended) for more than 2 s, one after another. Later losses within the tolerance stop all changes of the configuration: the operator's orders are refused or not answered, although enough hosts run.

Cause: the leader replaces a voter without a response for 2 s by a learner and removes it. The host then discards its data and opens an empty folder. The permission to found the group was read from the settings of the process, so a founder founded it again with its first identifier and an empty log. The others told it that it is removed, it discarded its data, and so on about once a second until its process was restarted. A member that has not applied the removal yet would have counted its votes.

The log of a former founder alternates between group_founded and member_removed.

Change: the permission is withdrawn when the host has had an identity.

--- a/Services/Fleet/consensus_group.cpp
+++ b/Services/Fleet/consensus_group.cpp
@@ -20,6 +20,7 @@
     : m_settings(settings)
     , m_send(std::move(send))
     , m_wake(wake)
+    , m_bootstrap(settings.bootstrap)
 {
 }
 
--- a/Services/Fleet/consensus_group.h
+++ b/Services/Fleet/consensus_group.h
@@ -128,6 +128,9 @@
     std::unique_ptr<storage_worker> m_storage;
     std::optional<consensus_member<>> m_member;
     document_register m_register;
+    /// Withdrawn with the first identity. A host whose member was removed has to join under a new identifier: with its
+    /// first one and an empty log it could vote for a leader that lacks committed entries.
+    bootstrap_permission m_bootstrap;
     uint64_t m_joinToken = 0;
     /// An empty data folder, kept open until the group assigns an identity to this host.
     std::optional<storage_type> m_emptyStorage;
--- a/Services/Fleet/consensus_group_storage.cpp
+++ b/Services/Fleet/consensus_group_storage.cpp
@@ -75,7 +75,7 @@
         return storage.status();
     if (storage->identity())
         return startMember(*std::move(storage), now);
-    if (m_settings.bootstrap == bootstrap_permission::Granted) {
+    if (m_bootstrap == bootstrap_permission::Granted) {
         auto const isSeed = std::any_of(m_settings.seeds.begin(), m_settings.seeds.end(),
             [&](auto const& seed) { return seed.address == m_settings.address; });
         if (isSeed) {
@@ -108,6 +108,7 @@
 
 absl::Status consensus_group::startMember(storage_type storage, monotonic_time now)
 {
+    m_bootstrap = bootstrap_permission::Forbidden;
     auto restored = storage.releaseRestoredState();
     m_register = {};
     if (!restored.snapshot->data.empty()) {
--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -67,7 +67,13 @@
                 settings, [](std::string const& bytes) { return tableOf(std::stoull(bytes)); },
                 [] { return std::nullopt; }, metrics)
                           .value())
-            , m_thread([this] { service->run([this] { return m_isStopping.load(); }); })
+            , m_thread([this] {
+                service->run([this] {
+                    while (m_isSuspended && !m_isStopping)
+                        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    return m_isStopping.load();
+                });
+            })
         {
         }
         ~running_control_host() { stop(); }
@@ -82,10 +88,14 @@
             m_thread.join();
         }
 
+        /// Suspends the service thread as a frozen host, or resumes it.
+        void setSuspended(bool isSuspended) const { m_isSuspended = isSuspended; }
+
         std::unique_ptr<control_service> service;
 
     private:
         mutable std::atomic<bool> m_isStopping { false };
+        mutable std::atomic<bool> m_isSuspended { false };
         mutable std::thread m_thread;
     };
 
@@ -550,4 +560,42 @@
     BOOST_TEST((response.status.ok() || response.leader.has_value()));
 }
 
+// Guards against a founder that was replaced while it was suspended or its disk was full, and then founds the group
+// again instead of joining it: it takes part in no vote until its process restarts, so later losses stop the group.
+BOOST_FIXTURE_TEST_CASE(replaced_founder_joins_again, control_fixture)
+{
+    running_control_host const first(settingsOf(1, { 1, 2, 3 }), metrics);
+    running_control_host const second(settingsOf(2, { 1, 2, 3 }), metrics);
+    running_control_host const third(settingsOf(3, { 1, 2, 3 }), metrics);
+    running_control_host const spare(settingsOf(4, { 1, 2, 3 }), metrics);
+    std::vector const hosts { first.service.get(), second.service.get(), third.service.get() };
+    BOOST_REQUIRE(storeAtLeader(hosts, 5));
+    // The spare host has to be a learner before it can replace a voter.
+    auto const isMember = [](control_service& service) {
+        auto const response = service.read();
+        return response.status.ok() || response.leader.has_value();
+    };
+    auto const waitForMember = [&](control_service& service, std::chrono::seconds timeout) {
+        for (auto const deadline = bootTime() + timeout; !isMember(service) && bootTime() < deadline;)
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        return isMember(service);
+    };
+    BOOST_REQUIRE(waitForMember(*spare.service, std::chrono::seconds(8)));
+    third.setSuspended(true);
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    BOOST_REQUIRE(storeAtLeader({ first.service.get(), second.service.get(), spare.service.get() }, 6));
+    third.setSuspended(false);
+    third.service->wake().raise();
+    BOOST_TEST(waitForMember(*third.service, std::chrono::seconds(8)));
+    // It stays a member.
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    BOOST_TEST(isMember(*third.service));
+    // With the returned host, the group survives the loss of two of its first members, one after the other.
+    first.stop();
+    BOOST_REQUIRE(storeAtLeader({ second.service.get(), third.service.get(), spare.service.get() }, 7));
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    second.stop();
+    BOOST_TEST(storeAtLeader({ third.service.get(), spare.service.get() }, 8));
+}
+
 } // namespace
