Fleet: Renew a server by its token only where the receiver has the same record

Cause: control hosts renew a server that their peers know from another control host by its token of 4 bytes. A host that restored its saved servers knows the server too, but as it was before: the token renewed the old record, which said ready, and the host passed it on in its pages as current.

Change: a digest of the record goes with the token (4 bytes more). A receiver with another record takes no renewal and requests the directory with all records. Hosts of the previous release send no digests and ignore them.

--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -121,6 +121,8 @@
             write(*update.add_records(), record);
         for (auto const token : message.renewed)
             update.add_renewed(token);
+        for (auto const digest : message.renewedDigests)
+            update.add_renewed_digest(digest);
         update.set_all_servers(message.scope == server_scope::All);
         for (auto const& server : message.late) {
             update.add_late(server.token);
@@ -334,6 +336,9 @@
                 result.records.push_back(*std::move(announcement));
         }
         result.renewed.assign(source.renewed().begin(), source.renewed().end());
+        result.renewedDigests.assign(source.renewed_digest().begin(), source.renewed_digest().end());
+        if (!result.renewedDigests.empty() && result.renewedDigests.size() != result.renewed.size())
+            return makeError(error_kind::InvalidArgument, "the numbers of renewed servers and of their digests differ");
         auto late = readAges(source.late(), source.late_age_ms());
         if (!late.ok())
             return late.status();
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -121,6 +121,8 @@
     /// Servers whose announcements are overdue.
     std::vector<server_age> late {};
     lease_renewal lease = lease_renewal::No;
+    /// Digests of the records that `renewed` stands for, in its order; empty from a host that sends none.
+    std::vector<uint32_t> renewedDigests {};
     auto operator<=>(directory_update const&) const = default;
 };
 
--- a/Libraries/Membership/backend_announcement.h
+++ b/Libraries/Membership/backend_announcement.h
@@ -38,4 +38,8 @@
     auto operator<=>(backend_announcement const&) const = default;
 };
 
+/// @return A hash of what an announcement says about its server, apart from the sequence number and the warm-up, which
+///     change with each announcement; the same on every host.
+uint32_t digestOf(backend_announcement const& announcement);
+
 } // namespace bilberryyard
--- a/Services/Fleet/control_service_directory.cpp
+++ b/Services/Fleet/control_service_directory.cpp
@@ -32,6 +32,7 @@
         update.lease = lease_renewal::No;
         update.late.clear();
         update.renewed = std::move(renewed);
+        update.renewedDigests.clear();
         return update;
     }
 
--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -136,10 +136,12 @@
             update.records.push_back({ entry.announcement, now - entry.lastSeenAt });
         if (state.livenessRevision <= revision || state.isReleased)
             continue;
-        if (state.isLate)
+        if (state.isLate) {
             update.late.push_back({ flowToken(id), now - entry.lastSeenAt });
-        else
+        } else {
             update.renewed.push_back(flowToken(id));
+            update.renewedDigests.push_back(digestOf(entry.announcement));
+        }
     }
     return update;
 }
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -76,14 +76,21 @@
     return result;
 }
 
+bool directory_view::isRenewalOf(directory_update const& update, size_t index, std::string const& id) const
+{
+    auto const* const entry = m_directory.find(id);
+    return update.renewedDigests.empty() || (entry && update.renewedDigests[index] == digestOf(entry->announcement));
+}
+
 void directory_view::applyRenewals(
     directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result)
 {
     auto const announcer
         = update.lease == lease_renewal::Yes ? leaseOf(feed, update.epoch) : std::shared_ptr<announcer_lease>();
-    for (auto const token : update.renewed) {
+    for (size_t index = 0; index < update.renewed.size(); ++index) {
+        auto const token = update.renewed[index];
         auto const server = m_servers.find(token);
-        if (server == m_servers.end()) {
+        if (server == m_servers.end() || !isRenewalOf(update, index, server->second.id)) {
             // The sender sends no record since its peers have one. Only a full copy of its directory has it too.
             if (announcer) {
                 result.isComplete = completeness::UnknownServer;
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -25,7 +25,8 @@
         Complete,
         /// An earlier update was lost, so the sender has to be asked for the changes since its position.
         Gap,
-        /// The update names a server of which no record has been received, so the sender has to be asked for all.
+        /// The update names a server of which no record, or another one than the sender's, has been received. So the
+        /// sender has to be asked for all.
         UnknownServer,
     };
 
@@ -102,6 +103,8 @@
     void applyRecord(received_record const& record, monotonic_time now, changes& result);
     void applyDeferredRecords(monotonic_time now, changes& result);
     void applyRenewals(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
+    /// @return Whether the sender renews the record that this host has. A restored record may be older.
+    bool isRenewalOf(directory_update const& update, size_t index, std::string const& id) const;
     void applyLateServers(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
     /// Updates the directory's own time of a server, so that its timeouts count from the latest lease.
     void refresh(std::string const& id);
--- a/Tests/Fleet/test_directory.cpp
+++ b/Tests/Fleet/test_directory.cpp
@@ -173,4 +173,33 @@
     BOOST_CHECK(feed.announce(foreign, at(100)) == announcement_effect::Added);
 }
 
+// Guards against a restored record of a server that drains meanwhile: renewed by its token alone, it says ready for as
+// long as the server drains (review case 5).
+BOOST_AUTO_TEST_CASE(token_does_not_renew_a_record_that_is_older_than_the_senders)
+{
+    auto const restored = announcementOf("i-1", 4);
+    auto const draining = announcementOf("i-1", 5, backend_state::Draining);
+    // The control host that was restarted reported the change to the other one, which the server now calls.
+    directory_feed feed({}, 6);
+    feed.recordElsewhere(draining);
+    auto repeated = draining;
+    repeated.sequence = 6;
+    feed.announce(repeated, at(0));
+    auto const update = feed.drainChanges(at(0));
+    BOOST_REQUIRE(update->records.empty());
+
+    directory_view view;
+    auto const age = backend_directory_settings().announcementTimeout;
+    view.apply(control, { 5, 0, 1, { { restored, age } }, {}, server_scope::All }, at(0));
+    auto const omitted = feed.updateSince(0, 0, at(100), known_records::Omitted);
+    auto const changes = view.apply(otherControl, *omitted, at(100));
+    BOOST_CHECK(changes.isComplete == directory_view::completeness::UnknownServer);
+    BOOST_CHECK(view.livenessOf("i-1").latest() == at(0) - age);
+    view.apply(otherControl, *feed.updateSince(0, 0, at(200), known_records::Included), at(200));
+    BOOST_CHECK(view.directory().find("i-1")->state() == backend_state::Draining);
+    // From then on the token is enough.
+    auto const again = view.apply(otherControl, *omitted, at(300));
+    BOOST_CHECK(again.isComplete == directory_view::completeness::Complete);
+}
+
 } // namespace
--- a/Tests/Fleet/test_fleet_codec.cpp
+++ b/Tests/Fleet/test_fleet_codec.cpp
@@ -58,6 +58,8 @@
     { "lease with late servers",
         directory_update {
             99, 12, 14, {}, { 7 }, server_scope::Own, { { 3, milliseconds(1'500) } }, lease_renewal::Yes } },
+    { "renewals with digests",
+        directory_update { 99, 12, 14, {}, { 7, 8 }, server_scope::Own, {}, lease_renewal::Yes, { 0xffffffff, 5 } } },
     { "directory request",
         directory_request {
             server_scope::All, "a", 99, 12, { page_cursor::pass::OtherZones, "i-7f3a" }, known_records::Omitted } },
@@ -107,7 +109,14 @@
     return encodeFleetMessage(page);
 }
 
+std::string withMissingDigest()
+{
+    return encodeFleetMessage(
+        directory_update { 1, 1, 2, {}, { 7, 8 }, server_scope::Own, {}, lease_renewal::Yes, { 5 } });
+}
+
 refused_row const refusedRows[] = {
+    { "fewer digests than renewed servers", withMissingDigest() },
     { "empty", "" },
     { "not a protobuf message", "\xff\xff\xff" },
     { "truncated", encodeFleetMessage(sampleRoutes()).substr(0, 20) },
