--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -249,8 +249,27 @@
     { "not TOML", "Node = ", "Node = = " },
     { "no key in a table's header", "[Listen]", "[))" },
     { "bytes that are not ASCII", "Unknown", "\xc3\xbcnknown" },
+    { "bytes that are not UTF-8", "ignored", "\xfcgnored" },
 };
 
+body_row const textRows[] = {
+    { "value of an unknown field", "\"ignored\"", "\"Li\xc3\xa8ge \xf0\x9f\x8d\xbe\"" },
+    { "unknown field with a quoted name", "Unknown",
+        "\"Gr\xc3\xb6\xc3\x9f"
+        "e\"" },
+    { "comment", "Unknown", "# f\xc3\xbcr\nUnknown" },
+    { "comment at the end of a line", "\"ignored\"", "1 # f\xc3\xbcr" },
+    { "zone", "Zone = \"a\"", "Zone = \"Li\xc3\xa8ge\"" },
+};
+
+// Guards against a new field or a comment in UTF-8 that keeps every process from starting.
+BOOST_DATA_TEST_CASE(settings_in_utf8_are_decoded, textRows, row)
+{
+    auto const settings = readBootSettings(replaced(settingsText, row.from, row.to));
+    BOOST_REQUIRE_MESSAGE(settings.ok(), settings.status().ToString());
+    BOOST_TEST(settings->zone == (row.name == std::string("zone") ? "Li\xc3\xa8ge" : "a"));
+}
+
 // Guards against a process that starts with invalid settings.
 BOOST_DATA_TEST_CASE(invalid_settings_are_rejected, settingsRows, row)
 {
