Consensus: Let a learner without contact find out that it was removed

What callers would see: a spare control host whose disk was full, or that was cut off, for more than 20 s answers every call with 503 until its process restarts, and cannot replace a lost voter.

Cause: the leader removes such a learner and sends it nothing more. A removed voter learns of it when it requests votes; a learner requests none.

Change: a learner whose election timeout has passed sends the request for pre-votes too. It changes nothing at its receivers and the learner ignores the votes; a member that has applied the removal responds with the notice.

Test: learner_without_contact_learns_of_its_removal fails without the change.

--- a/Libraries/Consensus/consensus_member_election.h
+++ b/Libraries/Consensus/consensus_member_election.h
@@ -59,6 +59,9 @@
     m_leader = noMember;
     if (!configuration().isVoter(m_identity.member)) {
         m_role = consensus_role::Follower;
+        // It may have been removed while it was away, and no leader sends messages to a removed member. Any member that
+        // has applied the removal responds to this request with a notice; other responses are ignored.
+        requestVotes(vote_phase::PreVote, election_cause::Timeout, m_vote.term + 1);
         return;
     }
     m_role = consensus_role::PreCandidate;
--- a/Tests/Consensus/member_fixture.h
+++ b/Tests/Consensus/member_fixture.h
@@ -3,18 +3,21 @@
 #include <Base/error_kind.h>
 #include <Consensus/consensus_member.h>
 
-/// Drives a single consensus_member step by step. Members 1 to 3 are voters; member 1 is under test.
+/// Drives a single consensus_member step by step. Members 1 to 3 are voters unless stated otherwise; member 1 is under
+/// test.
 class member_fixture {
 public:
     /// @param terms Terms of the restored log entries, from index 1 on.
     /// @param vote The restored term and vote; the term is raised to that of the last entry.
+    /// @param role Role of member 1 in the restored configuration.
     explicit member_fixture(std::vector<bilberryyard::term_number> const& terms, bilberryyard::vote_record vote = {},
-        bilberryyard::consensus_settings settings = {})
+        bilberryyard::consensus_settings settings = {},
+        bilberryyard::member_role role = bilberryyard::member_role::Voter)
     {
         using namespace bilberryyard;
         std::vector<member_description> members;
         for (uint32_t id = 1; id <= 3; ++id)
-            members.push_back({ member_id { id }, member_role::Voter, "host" + std::to_string(id) });
+            members.push_back({ member_id { id }, id == 1 ? role : member_role::Voter, "host" + std::to_string(id) });
         restored_state restored;
         restored.vote = vote;
         if (!terms.empty())
--- a/Tests/Consensus/test_member_rules.cpp
+++ b/Tests/Consensus/test_member_rules.cpp
@@ -264,6 +264,25 @@
     BOOST_TEST(member_fixture::lastMessage<removal_notice>(actions).has_value() == (row.sender == 3));
 }
 
+// Guards against a learner that was removed while its disk was full or it was cut off: without a message of its own it
+// is never told, does not join again, and cannot replace a lost voter.
+BOOST_AUTO_TEST_CASE(learner_without_contact_learns_of_its_removal)
+{
+    member_fixture fixture({ 1 }, {}, {}, member_role::Learner);
+    fixture.advanceTime(milliseconds(1500));
+    fixture.member->tick(fixture.now);
+    auto const request = member_fixture::lastMessage<vote_request>(fixture.actions());
+    BOOST_REQUIRE(request.has_value());
+    BOOST_CHECK(request->phase == preVote);
+    // It does not take part in elections.
+    for (uint32_t const voter : { 2U, 3U })
+        fixture.receive(voter, 1, vote_response { preVote, 2, granted });
+    BOOST_CHECK(fixture.member->role() == consensus_role::Follower);
+    BOOST_TEST(fixture.member->term() == 1u);
+    fixture.receive(2, 1, removal_notice {});
+    BOOST_TEST(member_fixture::lastAction<member_removed>(fixture.actions()).has_value());
+}
+
 struct change_row {
     char const* name;
     membership_change change;
