Soak: Fill disks, write odd announcements, follow the process that was signalled

New faults: writes to the files of a control host fail for up to 5.5 s (limit on file sizes, one host at a time, as for lost disks), and another program announces servers that cannot be used, also at the address and under the identifier of a live one. The second is no fault for the checks: nothing may follow from it.

It now waits for the process that it has signalled, with the same bound.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -5,9 +5,9 @@
 
 Usage: soak.py --program PATH [--seed N] [--seconds N] [--zones N] [--keep]
 
-Faults: processes are killed, paused, terminated and restarted; disks are lost; files of a killed process are truncated;
-settings are changed with SIGHUP; the servers' HTTP calls pass a simulated proxy that delays or resets them, drops the
-response or does not respond; packets between callers and the system are lost or delayed in both directions. Prints the
+Faults: processes are killed, paused, terminated and restarted; disks are lost or full; files of a killed process are
+truncated; another program announces servers that can't be used; settings are changed with SIGHUP; the servers' HTTP
+calls pass a simulated proxy that delays or resets them, drops the response or does not respond; packets between callers and the system are lost or delayed in both directions. Prints the
 seed and the violations; exits with 1 on a violation.
 """
 import argparse
@@ -16,6 +16,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import struct
@@ -69,6 +70,12 @@
         return protocol
 
 
+def prepare_signals():
+    """Lets a process get an error for a write above its limit on file sizes, which stands for a full disk here."""
+    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
+    signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+
+
 class Daemon:
     def __init__(self, soak, role, zone, ip):
         self.soak, self.role, self.zone, self.ip = soak, role, zone, ip
@@ -95,7 +102,8 @@
         self.write_settings(self.soak.seeds)
         log = open(self.folder / "log", "ab")
         self.process = subprocess.Popen(
-            [self.soak.program], stdout=log, stderr=log, cwd=self.folder,
+            [self.soak.program], stdout=log, stderr=log, cwd=self.folder, restore_signals=False,
+            preexec_fn=prepare_signals,
             env={"BILBERRYYARD_BOOT": str(self.folder / "node.toml"), "PATH": os.environ["PATH"]})
         log.close()
         self.bootstrap = False
@@ -106,15 +114,24 @@
             self.process.send_signal(signal_number)
         self.disturbed_at = time.monotonic()
 
+    def set_disk_full(self, is_full):
+        """Makes every write to a file fail, or ends that; a restarted process has no limit."""
+        limit = 0 if is_full else resource.RLIM_INFINITY
+        if self.process and self.process.poll() is None:
+            resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
+        self.disturbed_at = time.monotonic()
+
     async def stop(self, signal_number):
         self.signal(signal_number)
+        # An overlapping fault may start the next process of the host before this one looks again.
+        process = self.process
         for _ in range(80):
-            if self.process.poll() is not None:
+            if process.poll() is not None:
                 return
             await asyncio.sleep(0.1)
         self.soak.report_violation(f"{self.name} did not end within 8 s of signal {signal_number}")
-        self.process.kill()
-        self.process.wait()
+        process.kill()
+        process.wait()
 
 
 class Server:
@@ -428,13 +445,44 @@
             daemon.start()
             await asyncio.sleep(5.0)
 
+    async def fill_disk(self, daemon):
+        # A host with a full disk counts as lost, and there is one at a time.
+        async with self.wipe_lock:
+            self.record_fault(f"disk full {daemon.name}")
+            daemon.set_disk_full(True)
+            await asyncio.sleep(0.5 + self.random.random() * 5)
+            daemon.set_disk_full(False)
+            await asyncio.sleep(5.0)
+
+    async def write_odd_announcements(self):
+        """Another program announces servers that can't be used, also at the address and under the identifier of one that
+        can. Nothing may follow from it."""
+        live = [server for server in self.servers if not server.dead and server.state == "ready"]
+        victim = self.random.choice(live)
+        valid = {"Service": victim.service, "Addr": f"{victim.ip}:{SERVER_PORT}", "Zone": victim.zone, "Version": "v1",
+                 "Slots": 2, "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": int(time.time() * 1000) + 60_000}
+        strange = valid | {"Service": "not-configured"}
+        odd = [("i-0badc0de", json.dumps(strange)), ("%FF%FE", json.dumps(valid)), ("i%0A1", json.dumps(valid)),
+               (victim.id, json.dumps(strange | {"Addr": f"{self.net}.250.1:{SERVER_PORT}"})),
+               ("i-1", json.dumps(valid | {"Addr": f"{victim.ip}:70000"})),
+               ("i-2", json.dumps(valid | {"Seq": 2 ** 64})), (victim.id, json.dumps(valid | {"Seq": 2 ** 63})),
+               ("i-3", "[" * 50_000), ("i-4", '{"Service":' * 5_000), ("i-5", json.dumps(valid | {"State": "warming"}))]
+        for identifier, body in self.random.sample(odd, 4):
+            await self.call(self.random.choice(self.controls).ip, "POST", f"/Instances.Heartbeat/{identifier}", body)
+
     async def inject_fault(self):
         kind = self.random.choice(["kill", "pause", "terminate", "wipe", "tear", "hup", "proxy", "loss", "crash",
-                                   "drain", "herd", "kill balancer", "pause balancer", "terminate balancer"])
+                                   "drain", "herd", "kill balancer", "pause balancer", "terminate balancer",
+                                   "disk full", "other writer"])
         group = self.balancers if "balancer" in kind else self.controls
         daemon = self.random.choice(group)
         if kind == "wipe":
             await self.wipe(daemon)
+        elif kind == "disk full":
+            await self.fill_disk(daemon)
+        elif kind == "other writer":
+            self.history.append(kind)
+            await self.write_odd_announcements()
         elif "kill" in kind or kind == "tear":
             self.record_fault(f"{kind} {daemon.name}")
             await daemon.stop(signal.SIGKILL)
@@ -485,7 +533,7 @@
                 self.history.append(f"drain {server.id}")
                 await asyncio.sleep(1.0)
                 await server.leave()
-        self.faulted_at = time.monotonic() if "terminate" not in kind and kind not in ("drain", "hup") else self.faulted_at
+        self.faulted_at = time.monotonic() if "terminate" not in kind and kind not in ("drain", "hup", "other writer") else self.faulted_at
 
     async def inject_faults(self):
         pending = set()
