Fleet: Log what a reset of a flow was based on

A flow_reset line did not say whether the flow was open, whether this balancer had seen it before, or how old the evidence about the server was, so resets of live servers could not be told from the others. The line now has the purpose of the packet, the observed flow, and the ages of the last response, of the last announcement and of the leave, besides the server that has taken over the address. Decisions do not change.

--- a/Libraries/Placement/caller_packet.cpp
+++ b/Libraries/Placement/caller_packet.cpp
@@ -10,3 +10,22 @@
     };
     return mix(flowEndpoints.service, mix(flowEndpoints.caller, 0));
 }
+
+namespace bilberryyard {
+
+char const* nameOf(packet_purpose purpose)
+{
+    switch (purpose) {
+    case packet_purpose::Open:
+        return "open";
+    case packet_purpose::Continue:
+        return "continue";
+    case packet_purpose::Finish:
+        return "finish";
+    case packet_purpose::Abort:
+        return "abort";
+    }
+    return "unknown";
+}
+
+} // namespace bilberryyard
--- a/Libraries/Placement/caller_packet.h
+++ b/Libraries/Placement/caller_packet.h
@@ -24,6 +24,9 @@
     Abort,
 };
 
+/// @return A stable name for logs.
+char const* nameOf(packet_purpose purpose);
+
 /// The fields of a caller's packet that forwarding depends on.
 struct caller_packet {
     flow_endpoints flowEndpoints;
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -27,6 +27,14 @@
     return flow == m_flows.end() ? noToken : flow->second.token;
 }
 
+flow_observation flow_observer::observationOf(flow_endpoints const& flowEndpoints, monotonic_time now) const
+{
+    auto const flow = m_flows.find(flowEndpoints);
+    if (flow == m_flows.end())
+        return {};
+    return { flow->second.token, now - flow->second.openedAt, now - flow->second.sentAt };
+}
+
 backend_load* flow_observer::loadOf(observed_flow const& flow)
 {
     auto* const backend = m_pool.find(flow.token);
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -6,6 +6,17 @@
 
 namespace bilberryyard {
 
+/// What a balancer has observed of a flow.
+struct flow_observation {
+    /// Server that the balancer has forwarded the flow's packets to; noToken for an untracked flow.
+    uint32_t token = noToken;
+    /// Since the first packet of the flow.
+    duration age {};
+    /// Since the first transmission of the caller's latest data.
+    duration sinceData {};
+    auto operator<=>(flow_observation const&) const = default;
+};
+
 /// Tracks flows through the packets of their callers, to estimate the load and the response times of servers. Packets
 /// with a token are forwarded without this state; it only determines the server of repeated handshake packets and of
 /// packets without a token.
@@ -17,6 +28,9 @@
     /// @return Token of the server that the flow's packets are forwarded to, or noToken for an untracked flow.
     uint32_t serverTokenOf(flow_endpoints const& flowEndpoints) const;
 
+    /// @return What is known of the flow; an empty value for an untracked one.
+    flow_observation observationOf(flow_endpoints const& flowEndpoints, monotonic_time now) const;
+
     /// Records a handshake packet that is about to be forwarded.
     /// @param token The server it is forwarded to.
     void recordHandshake(caller_packet const& packet, uint32_t token, monotonic_time now);
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -92,13 +92,20 @@
         service, route, isLeastImportant ? route_importance::Least : route_importance::Higher, callerHash, now);
 }
 
+reset_flow token_router::reset(caller_packet const& packet, reset_reason reason, monotonic_time now)
+{
+    auto const observation = m_observer.observationOf(packet.flowEndpoints, now);
+    m_observer.removeFlow(packet.flowEndpoints);
+    return { reason, {}, observation };
+}
+
 packet_decision token_router::open(caller_packet const& packet, monotonic_time now)
 {
     if (!m_routes)
         return discard_packet { discard_reason::NoConfiguration };
     auto const route = m_routes->routes.find(packet.flowEndpoints.service);
     if (route == m_routes->routes.end() || route->second.services.empty())
-        return reset_flow { reset_reason::NoRoute, {} };
+        return reset_flow { reset_reason::NoRoute, {}, m_observer.observationOf(packet.flowEndpoints, now) };
     if (packet.retransmissionCount > 0)
         m_observer.recordRepeatedHandshake(packet, now);
     // If two servers responded to one handshake, the caller would receive two tokens. So the first server keeps the
@@ -108,13 +115,12 @@
         auto const& service = chooseService(route->second);
         // A handshake that was forwarded before stays admitted.
         if (!backend && !isAdmitted(packet, service, route->second, now))
-            return reset_flow { reset_reason::Overloaded, m_pool.overload().lowerQuartileResponseTime(service) };
+            return reset_flow { reset_reason::Overloaded, m_pool.overload().lowerQuartileResponseTime(service),
+                m_observer.observationOf(packet.flowEndpoints, now) };
         backend = m_pool.select(service, route->second.kind, now);
     }
-    if (!backend) {
-        m_observer.removeFlow(packet.flowEndpoints);
-        return reset_flow { reset_reason::NoServer, {} };
-    }
+    if (!backend)
+        return reset(packet, reset_reason::NoServer, now);
     m_observer.recordHandshake(packet, backend->token, now);
     return forwardTo(*backend);
 }
@@ -138,16 +144,14 @@
     if (!backend)
         return discard_packet { discard_reason::UnknownToken };
     if (backend->entry.state() == backend_state::Gone) {
+        if (packet.purpose != packet_purpose::Abort)
+            return reset(packet, reset_reason::ServerGone, now);
         m_observer.removeFlow(packet.flowEndpoints);
-        if (packet.purpose == packet_purpose::Abort)
-            return discard_packet { discard_reason::UnknownToken };
-        return reset_flow { reset_reason::ServerGone, {} };
+        return discard_packet { discard_reason::UnknownToken };
     }
     auto const novelty = m_observer.recordPacket(packet, now);
-    if (novelty == flow_observer::novelty::Repeated && isIdempotent(packet) && m_pool.isPresumedDead(*backend, now)) {
-        m_observer.removeFlow(packet.flowEndpoints);
-        return reset_flow { reset_reason::ServerUnresponsive, {} };
-    }
+    if (novelty == flow_observer::novelty::Repeated && isIdempotent(packet) && m_pool.isPresumedDead(*backend, now))
+        return reset(packet, reset_reason::ServerUnresponsive, now);
     return forwardTo(*backend);
 }
 
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -47,6 +47,8 @@
     reset_reason reason = reset_reason::NoRoute;
     /// For Overloaded: lower quartile of the service's response times.
     duration lowerQuartileResponseTime {};
+    /// What this balancer had observed of the flow before the reset.
+    flow_observation observation {};
     auto operator<=>(reset_flow const&) const = default;
 };
 
@@ -82,6 +84,8 @@
     size_t observedFlows() const { return m_observer.size(); }
 
 private:
+    /// @return A reset, after which the flow is no longer tracked.
+    reset_flow reset(caller_packet const& packet, reset_reason reason, monotonic_time now);
     packet_decision open(caller_packet const& packet, monotonic_time now);
     bool isIdempotent(caller_packet const& packet) const;
     std::string const& chooseService(service_route const& route);
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -84,6 +84,8 @@
     void sendReset(caller_packet const& packet, reset_reason reason);
     void logFlow(
         log_event const& event, caller_packet const& packet, uint32_t token, char const* outcome, monotonic_time now);
+    /// @return What the decision to reset the flow was based on, for a log line.
+    std::string evidenceOf(caller_packet const& packet, reset_flow const& reset, monotonic_time now);
     void maintain(monotonic_time now);
 
     fleet_settings m_settings;
@@ -237,6 +239,7 @@
                 = std::chrono::duration_cast<std::chrono::milliseconds>(refusal->lowerQuartileResponseTime);
             outcome += " quick_ms=" + std::to_string(lowerQuartile.count());
         }
+        outcome += evidenceOf(decoded, *refusal, now);
         logFlow(events::flowReset, decoded, decoded.token, outcome.c_str(), now);
         return;
     }
@@ -268,6 +271,31 @@
     m_logger.emit(event, line.str());
 }
 
+template <packet_format Format>
+std::string balancer_service<Format>::evidenceOf(
+    caller_packet const& packet, reset_flow const& reset, monotonic_time now)
+{
+    auto const milliseconds
+        = [](duration value) { return std::chrono::duration_cast<std::chrono::milliseconds>(value).count(); };
+    // -1 for something that has never happened.
+    auto const since
+        = [&](monotonic_time time) { return time == monotonic_time() ? int64_t { -1 } : milliseconds(now - time); };
+    std::ostringstream text;
+    text << " purpose=" << nameOf(packet.purpose) << " data=" << packet.payloadBytes
+         << " tracked=" << reset.observation.token << " flow_ms=" << milliseconds(reset.observation.age)
+         << " data_ms=" << milliseconds(reset.observation.sinceData);
+    if (auto const* const backend = m_router.pool().find(packet.token)) {
+        text << " response_ms=" << since(backend->load.lastResponseAt)
+             << " silent_ms=" << since(backend->load.withoutResponseSince)
+             << " announced_ms=" << since(backend->announcedAt)
+             << " checked_ms=" << since(backend->announcementCheckedAt)
+             << " leaving_ms=" << since(backend->entry.leavingSince)
+             << " displaced_by=" << (backend->entry.displacedBy.empty() ? "-" : backend->entry.displacedBy);
+    }
+    text << " control_hosts=" << m_control.reachableControlCount(now);
+    return text.str();
+}
+
 template <packet_format Format>
 void balancer_service<Format>::sendReset(caller_packet const& packet, reset_reason reason)
 {
