Placement: Reset a flow of a departed server only without a response

Callers saw resets from balancers on open flows of servers that were leaving.

Cause: the state Gone, which says something about membership, was taken as proof that the server's flows had ended. A server serves its flows until it has received the acknowledgement of its leave; where that comes late or never, for seconds. The same holds when another server announces the address, since the announcement may be wrong or outdated.

A packet of a flow whose server is Gone is forwarded to it now. The server's tag keeps other servers at the address from accepting it.

--- a/Libraries/Placement/backend_load.h
+++ b/Libraries/Placement/backend_load.h
@@ -25,6 +25,8 @@
     uint32_t retransmissionsSinceResponse = 0;
     /// When the first transmission of the earliest of those packets arrived.
     monotonic_time withoutResponseSince;
+    /// Whether the server, which has left, did not respond to a packet that a caller repeated after that.
+    bool hasStopped = false;
     monotonic_time ejectedUntil;
     /// Consecutive ejections without a response in between.
     uint32_t ejections = 0;
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -38,8 +38,10 @@
         std::erase(m_services[backend.entry.announcement.service], token);
     if (isNew || serviceChanged)
         m_services[entry.announcement.service].push_back(token);
+    auto const previousState = isNew ? backend_state::Ready : backend.entry.state();
     backend.token = token;
     backend.entry = entry;
+    recordState(backend, previousState, now);
     backend.liveness = { entry.lastSeenAt, nullptr };
     backend.announcedAt = std::max(backend.announcedAt, entry.lastSeenAt);
     backend.warmUpEndsAt = now + entry.announcement.remainingWarmUp;
@@ -50,10 +52,21 @@
     }
 }
 
-void backend_pool::setDisplacement(std::string const& id, std::string const& displacedBy)
+void backend_pool::recordState(pooled_backend& backend, backend_state previous, monotonic_time now)
 {
-    if (auto* const backend = find(flowToken(id)))
+    if (backend.entry.state() != backend_state::Gone)
+        backend.load.hasStopped = false;
+    else if (previous != backend_state::Gone)
+        backend.goneSince = now;
+}
+
+void backend_pool::setDisplacement(std::string const& id, std::string const& displacedBy, monotonic_time now)
+{
+    if (auto* const backend = find(flowToken(id))) {
+        auto const previousState = backend->entry.state();
         backend->entry.displacedBy = displacedBy;
+        recordState(*backend, previousState, now);
+    }
 }
 
 void backend_pool::setLiveness(uint32_t token, server_liveness const& liveness)
@@ -205,6 +218,7 @@
 void backend_pool::recordAcknowledgement(pooled_backend& backend, monotonic_time now)
 {
     backend.load.lastResponseAt = now;
+    backend.load.hasStopped = false;
     backend.load.retransmissionsSinceResponse = 0;
     backend.load.ejections = 0;
     backend.load.ejectedUntil = {};
@@ -248,6 +262,10 @@
         return;
     if (backend.load.retransmissionsSinceResponse++ == 0)
         backend.load.withoutResponseSince = since;
+    // A response that the server sent before it left may still be in transit.
+    if (backend.entry.state() == backend_state::Gone
+        && now - backend.goneSince >= m_settings.minimumRetransmissionDelay)
+        backend.load.hasStopped = true;
     if (now - backend.suspectedAt >= m_settings.announcementQueryInterval) {
         backend.suspectedAt = now;
         m_suspects.push_back(backend.token);
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -27,6 +27,8 @@
     /// When the server was last listed by drainSuspects().
     monotonic_time suspectedAt;
     monotonic_time warmUpEndsAt;
+    /// When this balancer received that the server is Gone; only meaningful in that state.
+    monotonic_time goneSince;
     backend_load load;
 };
 
@@ -51,7 +53,7 @@
     void update(backend_entry const& entry, monotonic_time now);
     /// Records which server has taken over the address of this one.
     /// @param displacedBy Empty if the server has its address. Ignores unknown servers.
-    void setDisplacement(std::string const& id, std::string const& displacedBy);
+    void setDisplacement(std::string const& id, std::string const& displacedBy, monotonic_time now);
     /// Records when the server was last known to be alive. Ignores unknown tokens.
     void setLiveness(uint32_t token, server_liveness const& liveness);
     /// @param id Identifier of a server that the directory has removed.
@@ -76,6 +78,12 @@
     /// @return Whether the server has not responded to any caller for so long that flows with idempotent requests
     ///     should be reset, so that callers retry at another server.
     bool isPresumedDead(pooled_backend const& backend, monotonic_time now) const;
+    /// @return Whether the server has left and no longer responds. Leaving alone is no evidence that its flows have
+    ///     ended: the server serves them until it has received the acknowledgement of its leave.
+    static bool hasStopped(pooled_backend const& backend)
+    {
+        return backend.entry.state() == backend_state::Gone && backend.load.hasStopped;
+    }
     /// Records a packet that a caller retransmitted; ejects the server when there were enough without a response.
     /// @param since When the packet's first transmission arrived.
     void recordRetransmission(pooled_backend& backend, monotonic_time since, monotonic_time now);
@@ -109,6 +117,7 @@
         RecentlyDraining,
     };
 
+    static void recordState(pooled_backend& backend, backend_state previous, monotonic_time now);
     bool meets(pooled_backend const& backend, required_condition level, monotonic_time now) const;
     double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
     double idleFlowWeight(std::string const& service);
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -143,13 +143,9 @@
     auto* const backend = m_pool.find(token);
     if (!backend)
         return discard_packet { discard_reason::UnknownToken };
-    if (backend->entry.state() == backend_state::Gone) {
-        if (packet.purpose != packet_purpose::Abort)
-            return reset(packet, reset_reason::ServerGone, now);
-        m_observer.removeFlow(packet.flowEndpoints);
-        return discard_packet { discard_reason::UnknownToken };
-    }
     auto const novelty = m_observer.recordPacket(packet, now);
+    if (backend_pool::hasStopped(*backend) && packet.purpose != packet_purpose::Abort)
+        return reset(packet, reset_reason::ServerGone, now);
     if (novelty == flow_observer::novelty::Repeated && isIdempotent(packet) && m_pool.isPresumedDead(*backend, now))
         return reset(packet, reset_reason::ServerUnresponsive, now);
     return forwardTo(*backend);
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -17,6 +17,7 @@
     NoServer,
     /// The service is overloaded, and overload control does not admit the flow.
     Overloaded,
+    /// The server has left, or lost its address to another one, and does not respond to a repeated packet.
     ServerGone,
     /// The server does not respond to any caller, and the request may be repeated at another server.
     ServerUnresponsive,
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -139,10 +139,10 @@
     }
     for (auto const& [token, liveness] : changes.renewed)
         m_router.pool().setLiveness(token, liveness);
-    applyDisplacements(changes);
+    applyDisplacements(changes, now);
 }
 
-void balancer_control::applyDisplacements(directory_view::changes const& changes)
+void balancer_control::applyDisplacements(directory_view::changes const& changes, monotonic_time now)
 {
     auto const& directory = m_directory.view().directory();
     size_t lineCount = 0;
@@ -150,7 +150,7 @@
         auto const* const entry = directory.find(id);
         if (!entry)
             continue;
-        m_router.pool().setDisplacement(id, entry->displacedBy);
+        m_router.pool().setDisplacement(id, entry->displacedBy, now);
         if (lineCount++ < maximumListedServers)
             m_logger.emit(events::serverDisplaced,
                 "server=" + id + " address=" + entry->announcement.address.toText()
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -90,7 +90,7 @@
     };
     void applyChanges(
         ip_endpoint const& sender, directory_view::changes const& changes, server_lines lines, monotonic_time now);
-    void applyDisplacements(directory_view::changes const& changes);
+    void applyDisplacements(directory_view::changes const& changes, monotonic_time now);
     void logLateServers(ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now);
     void sendAgeRequests(monotonic_time now);
     void expireLinks(monotonic_time now);
