Placement: Forget packets without a response after their outage has ended

Callers can be reset although their server serves: after a partition, or any loss of packets, a single lost packet on a flow is enough.

Cause: retransmissionsSinceResponse counts for as long as no caller acknowledges anything of the server through this balancer. A balancer that has few flows to a server (another zone, flows that pause, callers whose packets take another balancer by then) keeps the count of an outage for minutes. The time of silence is then counted from that outage, the report of the last announcement is from that time too, and the first repeated packet of any flow meets all conditions of isPresumedDead(): the lease that renews the server meanwhile does not change announcedAt.

The test below needs no cut: with the former code

silence_of_an_earlier_outage_does_not_reset_flows/_1: check placement_fixture::resetOf(fixture.request(20'000, token)) == row.reset has failed (row = no caller waits any more) .../_2: the same (row = long after the outage)

A caller that waits repeats its packet every 1.6 s at the latest. When no packet has been repeated for longer, a new count begins, with a new start of the silence, so that a report of the last announcement has to be newer than that, too.

--- a/Libraries/Placement/backend_load.h
+++ b/Libraries/Placement/backend_load.h
@@ -21,8 +21,10 @@
     monotonic_time slownessUpdatedAt;
     /// When the latest packet arrived that acknowledges data or a handshake response of the server.
     monotonic_time lastResponseAt;
-    /// Packets that callers have retransmitted since lastResponseAt.
+    /// Packets that callers have retransmitted since lastResponseAt, without a pause longer than
+    /// placement_settings::maximumRetransmissionInterval in between.
     uint32_t retransmissionsSinceResponse = 0;
+    monotonic_time lastRetransmissionAt;
     /// When the first transmission of the earliest of those packets arrived.
     monotonic_time withoutResponseSince;
     /// Whether the server, which has left, did not respond to a packet that a caller repeated after that.
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -260,6 +260,9 @@
     // The server has responded to other packets since, so only this packet was lost.
     if (backend.load.lastResponseAt > since)
         return;
+    if (now - backend.load.lastRetransmissionAt > m_settings.maximumRetransmissionInterval)
+        backend.load.retransmissionsSinceResponse = 0;
+    backend.load.lastRetransmissionAt = now;
     if (backend.load.retransmissionsSinceResponse++ == 0)
         backend.load.withoutResponseSince = since;
     // A response that the server sent before it left may still be in transit.
--- a/Tests/Placement/test_load_patterns.cpp
+++ b/Tests/Placement/test_load_patterns.cpp
@@ -233,6 +233,51 @@
     BOOST_CHECK(reset == row.reset);
 }
 
+struct outage_row {
+    char const* name;
+    /// Time from the last packet without a response to the next request, in milliseconds.
+    int pauseMs;
+    std::optional<reset_reason> reset;
+};
+std::ostream& operator<<(std::ostream& stream, outage_row const& row) { return stream << row.name; }
+
+outage_row const outageRows[] = {
+    { "callers still wait", 400, reset_reason::ServerUnresponsive },
+    { "no caller waits any more", 2'000, std::nullopt },
+    { "long after the outage", 10'000, std::nullopt },
+};
+
+// Partition that has healed, with a flow that was idle meanwhile. Guards against a reset of this flow because a single
+// packet is lost later: the packets without a response during the outage say nothing about the server by then.
+BOOST_DATA_TEST_CASE(silence_of_an_earlier_outage_does_not_reset_flows, outageRows, row)
+{
+    placement_fixture fixture;
+    fixture.announce(1);
+    auto const token = fixture.openEstablished(20'000);
+    for (uint16_t caller = 20'001; caller < 20'005; ++caller)
+        fixture.openEstablished(caller);
+    for (int number = 2; number <= 4; ++number)
+        fixture.announce(number);
+    auto const lastSeenAt = fixture.now;
+    auto const lease = std::make_shared<announcer_lease>();
+    fixture.router.pool().setLiveness(token, { lastSeenAt, lease });
+    fixture.advance(1'000);
+    for (uint16_t caller = 20'001; caller < 20'005; ++caller)
+        fixture.request(caller, token);
+    for (int repeat = 0; repeat < 2; ++repeat) {
+        fixture.advance(200);
+        lease->renewedAt = fixture.now;
+        fixture.router.pool().recordAnnouncement(token, lastSeenAt, fixture.now);
+        for (uint16_t caller = 20'001; caller < 20'005; ++caller)
+            fixture.request(caller, token);
+    }
+    fixture.advance(row.pauseMs - 200);
+    lease->renewedAt = fixture.now;
+    fixture.request(20'000, token);
+    fixture.advance(200);
+    BOOST_CHECK(placement_fixture::resetOf(fixture.request(20'000, token)) == row.reset);
+}
+
 // Queue at a running server: no flow is reset while the server responds to some callers or a control host still
 // receives its announcements.
 BOOST_AUTO_TEST_CASE(busy_server_that_still_responds_keeps_its_flows)
