Placement: Track the flow that a packet belongs to by its token

Callers on a sound server could have their flows reset as server_silent because another server did not respond, and flows on a crashed server could wait although nothing of it was heard.

A balancer tracked flows by their endpoints alone. If a caller used its port again through another balancer, or completed its handshake with the server that another balancer had chosen, the packets carried the token of that other server, but repetitions and acknowledgements still counted for the server of the tracked flow.

A packet that carries another token now replaces the tracked flow: it belongs to a flow of the server that the token names. A packet that ends a flow of another server leaves the tracked one as it is, since it may be the late end of an earlier flow of the port or the rejection of a second handshake response.

--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -116,6 +116,15 @@
 flow_observer::novelty flow_observer::recordPacket(caller_packet const& packet, monotonic_time now)
 {
     auto entry = m_flows.find(packet.flowEndpoints);
+    if (entry != m_flows.end() && packet.token != noToken && packet.token != entry->second.token) {
+        // The end of an earlier flow, or the rejection of a second handshake response.
+        if (packet.purpose != packet_purpose::Continue)
+            return novelty::New;
+        // The tracked flow is an earlier one of the same port, or another server has completed its handshake.
+        removeFromLoad(entry->second);
+        m_flows.erase(entry);
+        entry = m_flows.end();
+    }
     if (entry == m_flows.end()) {
         // The handshake passed through another balancer.
         if (m_flows.size() >= m_settings.maximumObservedFlows || packet.purpose != packet_purpose::Continue)
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -45,7 +45,8 @@
         Repeated,
     };
 
-    /// Records any other packet of a flow.
+    /// Records any other packet of a flow. If the tracked flow of these endpoints has another server, the packet's flow
+    /// replaces it, unless the packet ends it.
     /// @param packet Its token identifies the server.
     novelty recordPacket(caller_packet const& packet, monotonic_time now);
 
--- a/Tests/Placement/test_token_router.cpp
+++ b/Tests/Placement/test_token_router.cpp
@@ -245,6 +245,105 @@
     BOOST_TEST(placement_fixture::targetOf(fixture.open(40'000, 1)).value() != token);
 }
 
+struct earlier_flow_row {
+    char const* name;
+    /// Whether the caller completed its handshake with the server that this balancer had chosen.
+    bool isEstablished;
+};
+std::ostream& operator<<(std::ostream& stream, earlier_flow_row const& row) { return stream << row.name; }
+
+earlier_flow_row const earlierFlowRows[] = {
+    { "handshake completed by another server", false },
+    { "port used again through another balancer", true },
+};
+
+// Two servers; caller 40,000 has a flow that this balancer placed at one of them, and sends a request to the other.
+struct moved_flow_fixture : placement_fixture {
+    uint32_t placed = noToken;
+    uint32_t other = noToken;
+
+    explicit moved_flow_fixture(earlier_flow_row const& row)
+    {
+        announce(1);
+        announce(2);
+        placed = targetOf(open(40'000)).value();
+        other = placed == tokenOf(1) ? tokenOf(2) : tokenOf(1);
+        if (row.isEstablished)
+            completeHandshake(40'000, placed);
+        advance(1'000);
+        router.decide(requestTo(other), now);
+    }
+    caller_packet requestTo(uint32_t token) const
+    {
+        auto packet = packetOf(40'000);
+        packet.token = token;
+        packet.sequence = 900'001;
+        packet.acknowledgement = 700'001;
+        packet.payloadBytes = 100;
+        return packet;
+    }
+    backend_load const& loadOf(uint32_t token) { return router.pool().find(token)->load; }
+};
+
+// Guards against resets of flows of a sound server because another server does not respond.
+BOOST_DATA_TEST_CASE(repeated_packets_count_against_the_server_they_are_sent_to, earlierFlowRows, row)
+{
+    moved_flow_fixture fixture(row);
+    for (uint16_t caller = 40'001; caller < 40'003; ++caller) {
+        fixture.completeHandshake(caller, fixture.placed);
+        fixture.request(caller, fixture.placed);
+    }
+    for (int repeat = 0; repeat < 3; ++repeat) {
+        fixture.advance(200);
+        fixture.router.decide(fixture.requestTo(fixture.other), fixture.now);
+    }
+    BOOST_TEST(fixture.loadOf(fixture.placed).retransmissionsSinceResponse == 0u);
+    BOOST_TEST(fixture.loadOf(fixture.other).retransmissionsSinceResponse == 3u);
+    auto const decision = fixture.request(40'001, fixture.placed);
+    BOOST_TEST((placement_fixture::targetOf(decision) == std::optional(fixture.placed)));
+}
+
+// Guards against a crashed server that counts as responsive because another server responds.
+BOOST_DATA_TEST_CASE(acknowledgements_count_for_the_server_they_are_sent_to, earlierFlowRows, row)
+{
+    moved_flow_fixture fixture(row);
+    auto const before = fixture.loadOf(fixture.placed).lastResponseAt;
+    fixture.advance(50);
+    auto acknowledgement = fixture.requestTo(fixture.other);
+    acknowledgement.sequence += acknowledgement.payloadBytes;
+    acknowledgement.acknowledgement += 2'000;
+    acknowledgement.payloadBytes = 0;
+    fixture.router.decide(acknowledgement, fixture.now);
+    BOOST_CHECK(fixture.loadOf(fixture.placed).lastResponseAt == before);
+    BOOST_CHECK(fixture.loadOf(fixture.other).lastResponseAt == fixture.now);
+    BOOST_TEST(fixture.loadOf(fixture.placed).open == 0u);
+    BOOST_TEST(fixture.loadOf(fixture.placed).opening == 0u);
+    BOOST_TEST(fixture.loadOf(fixture.other).open == 1u);
+}
+
+struct ending_row {
+    char const* name;
+    packet_purpose purpose;
+};
+std::ostream& operator<<(std::ostream& stream, ending_row const& row) { return stream << row.name; }
+
+ending_row const endingRows[] = {
+    { "late end of an earlier flow", packet_purpose::Finish },
+    { "rejected second handshake response", packet_purpose::Abort },
+};
+
+// Guards against a flow that is no longer tracked because the end of an earlier flow of its port arrives late.
+BOOST_DATA_TEST_CASE(end_of_another_flow_keeps_the_tracked_one, endingRows, row)
+{
+    moved_flow_fixture fixture(earlierFlowRows[0]);
+    auto packet = fixture.packetOf(40'000);
+    packet.token = fixture.placed;
+    packet.purpose = row.purpose;
+    auto const decision = fixture.router.decide(packet, fixture.now);
+    BOOST_TEST((placement_fixture::targetOf(decision) == std::optional(fixture.placed)));
+    BOOST_TEST(fixture.loadOf(fixture.other).busy == 1u);
+}
+
 // Guards against new flows that are not split between services by the weights of the route.
 BOOST_AUTO_TEST_CASE(split_route_follows_its_weights)
 {
