Placement: Take the age of a server from the host that it announces itself to

Before a balancer resets flows of a server that responds to no caller, it asks all control hosts for the age of its last announcement. The first response counted as the check, also one of a control host that the server has left, and whose record is therefore old. A live server then lost its flows if that response arrived first.

A report counts as a check only if it comes from the current incarnation of the control host that the server announces itself to, as the directory view knows it from records, renewals and pages. Reports of other hosts still count as an announcement if they are newer than what is known, so a server that has just moved is protected before its record arrives. If that host is unknown or unreachable, no check is awaited once the lease has expired.

Without the fix (reports of all hosts count): lease_is_checked_before_flows_of_an_unresponsive_server_are_reset/_2: check reset == row.reset has failed row = no announcement since at a host that the server has left age_is_checked_by_the_host_that_the_server_announces_itself_to/_0: check checkedAt == (row.isChecked ? now : monotonic_time()) has failed row = host that the server has left and row 3, "host that the balancer does not know", of the same test.

--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -77,12 +77,15 @@
     }
 }
 
-void backend_pool::recordAnnouncement(uint32_t token, monotonic_time announcedAt, monotonic_time now)
+void backend_pool::recordAnnouncement(
+    uint32_t token, monotonic_time announcedAt, announcement_reporter reporter, monotonic_time now)
 {
-    if (auto* const backend = find(token)) {
-        backend->announcedAt = std::max(backend->announcedAt, announcedAt);
+    auto* const backend = find(token);
+    if (!backend)
+        return;
+    backend->announcedAt = std::max(backend->announcedAt, announcedAt);
+    if (reporter == announcement_reporter::Announcer)
         backend->announcementCheckedAt = now;
-    }
 }
 
 bool backend_pool::awaitsAnnouncementCheck(pooled_backend const& backend, monotonic_time now) const
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -22,7 +22,7 @@
     server_liveness liveness;
     /// Time of the latest announcement that is known exactly, not only through a lease.
     monotonic_time announcedAt;
-    /// When a control host last reported that time on request.
+    /// When the control host that the server announces itself to last reported that time on request.
     monotonic_time announcementCheckedAt;
     /// When the server was last listed by drainSuspects().
     monotonic_time suspectedAt;
@@ -41,6 +41,14 @@
     Stale,
 };
 
+/// Which control host reports the time of a server's last announcement.
+enum class announcement_reporter : uint8_t {
+    /// The one that the server announces itself to.
+    Announcer,
+    /// Any other one. The server may have announced itself elsewhere since.
+    OtherHost,
+};
+
 /// The backend servers that a balancer knows, and the choice of a server for each new flow.
 class backend_pool {
 public:
@@ -88,8 +96,10 @@
     /// @param since When the packet's first transmission arrived.
     void recordRetransmission(pooled_backend& backend, monotonic_time since, monotonic_time now);
 
-    /// Records the time of an announcement that a control host has reported on request. Ignores unknown tokens.
-    void recordAnnouncement(uint32_t token, monotonic_time announcedAt, monotonic_time now);
+    /// Records the time of a server's last announcement that a control host has reported on request. Ignores unknown
+    /// tokens.
+    void recordAnnouncement(
+        uint32_t token, monotonic_time announcedAt, announcement_reporter reporter, monotonic_time now);
     /// @return Flow tokens of servers for which the exact time of the last announcement is needed, since they have not
     ///     responded to a retransmitted packet.
     std::vector<uint32_t> drainSuspects() { return std::exchange(m_suspects, {}); }
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -114,10 +114,13 @@
     link.hasAllServers = true;
 }
 
-void balancer_control::handle(ip_endpoint const&, age_response const& message, monotonic_time now)
+void balancer_control::handle(ip_endpoint const& sender, age_response const& message, monotonic_time now)
 {
-    for (auto const& server : message.servers)
-        m_router.pool().recordAnnouncement(server.token, now - server.age, now);
+    for (auto const& server : message.servers) {
+        auto const reporter = m_directory.view().isAnnouncer(sender, server.token) ? announcement_reporter::Announcer
+                                                                                   : announcement_reporter::OtherHost;
+        m_router.pool().recordAnnouncement(server.token, now - server.age, reporter, now);
+    }
 }
 
 void balancer_control::applyChanges(
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -211,6 +211,14 @@
     return server == m_servers.end() ? server_liveness {} : server->second.liveness();
 }
 
+bool directory_view::isAnnouncer(ip_endpoint const& controlHost, uint32_t token) const
+{
+    auto const feed = m_feeds.find(controlHost);
+    auto const server = m_servers.find(token);
+    return feed != m_feeds.end() && server != m_servers.end() && server->second.announcer
+        && server->second.announcer == feed->second.lease;
+}
+
 std::string const* directory_view::findId(uint32_t token) const
 {
     auto const server = m_servers.find(token);
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -67,6 +67,8 @@
     position positionOf(ip_endpoint const& sender) const;
     /// @return When the server was last known to be alive; an empty value for an unknown one.
     server_liveness livenessOf(std::string const& id) const;
+    /// @return Whether the server announces itself to the current incarnation of this control host.
+    bool isAnnouncer(ip_endpoint const& controlHost, uint32_t token) const;
     /// @return Identifier of the server with the flow token, or nullptr.
     std::string const* findId(uint32_t token) const;
     backend_directory const& directory() const { return m_directory; }
--- a/Tests/Fleet/test_control_service.cpp
+++ b/Tests/Fleet/test_control_service.cpp
@@ -2,6 +2,7 @@
 #include <Base/error_kind.h>
 #include <Fleet/balancer_control.h>
 #include <Fleet/control_service.h>
+#include <Fleet/directory_feed.h>
 #include <atomic>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -166,6 +167,48 @@
     balancer_control control;
 };
 
+struct age_row {
+    char const* name;
+    /// Control hosts whose reports arrive, in this order.
+    std::vector<int> reporters;
+    bool isChecked;
+};
+std::ostream& operator<<(std::ostream& stream, age_row const& row) { return stream << row.name; }
+
+age_row const ageRows[] = {
+    { "host that the server has left", { 1 }, false },
+    { "both hosts", { 1, 2 }, true },
+    { "host that the server announces itself to", { 2 }, true },
+    { "host that the balancer does not know", { 3 }, false },
+};
+
+// Guards against a live server that counts as overdue because a control host that it has left reports its age first.
+BOOST_DATA_TEST_CASE_F(control_fixture, age_is_checked_by_the_host_that_the_server_announces_itself_to, ageRows, row)
+{
+    balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
+    auto const now = bootTime();
+    ip_endpoint const hosts[] = { {}, { addressOf(1), 27'921 }, { addressOf(2), 27'921 }, { addressOf(3), 27'921 } };
+    backend_announcement announcement;
+    announcement.id = "i-1";
+    announcement.service = "orders";
+    announcement.address = { ip_address::fromIpv4(0x0a000001), 80 };
+    announcement.startedAtMs = 100;
+    for (int const number : { 1, 2 }) {
+        directory_feed feed({}, static_cast<uint64_t>(number));
+        announcement.sequence = static_cast<uint64_t>(number);
+        feed.announce(announcement, now);
+        probe.control.receive(hosts[number], *feed.drainChanges(now), now);
+    }
+    auto const token = flowToken(announcement.id);
+    BOOST_REQUIRE(probe.router.pool().find(token));
+    for (auto const reporter : row.reporters) {
+        age_response const report { { { token, std::chrono::milliseconds(reporter == 2 ? 100 : 1'300) } } };
+        probe.control.receive(hosts[reporter], report, now);
+    }
+    auto const checkedAt = probe.router.pool().find(token)->announcementCheckedAt;
+    BOOST_CHECK(checkedAt == (row.isChecked ? now : monotonic_time()));
+}
+
 // Guards against rejecting a repeated store request, and against replacing the content of a stored version.
 BOOST_FIXTURE_TEST_CASE(stored_version_is_acknowledged_again_and_keeps_its_content, control_fixture)
 {
--- a/Tests/Fleet/test_directory_leases.cpp
+++ b/Tests/Fleet/test_directory_leases.cpp
@@ -177,6 +177,39 @@
     BOOST_TEST(changes.renewed.front().first == tokenOf(0));
 }
 
+struct announcer_row {
+    char const* name;
+    /// Number of the control host, and the epoch of its directory.
+    int host;
+    uint64_t epoch;
+    bool isAnnouncer;
+};
+std::ostream& operator<<(std::ostream& stream, announcer_row const& row) { return stream << row.name; }
+
+announcer_row const announcerRows[] = {
+    { "host that the server has left", 1, 5, false },
+    { "host that the server announces itself to", 2, 8, true },
+    { "new incarnation of that host", 2, 9, false },
+    { "host that sent no directory", 3, 0, false },
+};
+
+// Guards against taking the age that a control host reports of a server for its last announcement, while the server
+// announces itself to another control host.
+BOOST_DATA_TEST_CASE_F(lease_fixture, announcer_is_the_host_that_received_the_last_announcement, announcerRows, row)
+{
+    directory_feed other({}, 8);
+    announceUntil(feed, 1, 1'200);
+    transfer(feed, 1, 1'200);
+    BOOST_TEST(view.isAnnouncer(controlHost(1), tokenOf(1)));
+    other.announce(announcementOf(1, 50), at(2'400));
+    transfer(other, 2, 2'400);
+    directory_feed source({}, row.epoch);
+    if (row.epoch > 0)
+        view.apply(controlHost(row.host), source.lease(), at(2'500));
+    BOOST_TEST(view.isAnnouncer(controlHost(row.host), tokenOf(1)) == row.isAnnouncer);
+    BOOST_TEST(!view.isAnnouncer(controlHost(row.host), tokenOf(7)));
+}
+
 // Guards against two control hosts that both received announcements of a server: the one that is out of date must not
 // have the last word.
 BOOST_FIXTURE_TEST_CASE(late_report_is_contradicted_by_the_host_that_received_the_announcements, lease_fixture)
--- a/Tests/Placement/test_load_patterns.cpp
+++ b/Tests/Placement/test_load_patterns.cpp
@@ -188,6 +188,7 @@
     /// What a control host reports on request about the server that does not respond: the time since its last
     /// announcement in milliseconds; nullopt if no report arrives.
     std::optional<int> reportedAge;
+    announcement_reporter reporter;
     /// Age of the control host's lease in milliseconds.
     int leaseAge;
     std::optional<reset_reason> reset;
@@ -195,10 +196,14 @@
 std::ostream& operator<<(std::ostream& stream, lease_row const& row) { return stream << row.name; }
 
 lease_row const leaseRows[] = {
-    { "announced itself since", 100, 0, std::nullopt },
-    { "no announcement since", 900, 0, reset_reason::ServerUnresponsive },
-    { "no report yet", std::nullopt, 0, std::nullopt },
-    { "control host is silent as well", std::nullopt, 5'000, reset_reason::ServerUnresponsive },
+    { "announced itself since", 100, announcement_reporter::Announcer, 0, std::nullopt },
+    { "no announcement since", 900, announcement_reporter::Announcer, 0, reset_reason::ServerUnresponsive },
+    { "no announcement since at a host that the server has left", 900, announcement_reporter::OtherHost, 0,
+        std::nullopt },
+    { "announced itself since at another host", 100, announcement_reporter::OtherHost, 0, std::nullopt },
+    { "no report yet", std::nullopt, announcement_reporter::Announcer, 0, std::nullopt },
+    { "control host is silent as well", std::nullopt, announcement_reporter::Announcer, 5'000,
+        reset_reason::ServerUnresponsive },
 };
 
 // Crash of a server whose control host confirms all its servers with one lease: the lease alone neither saves the
@@ -228,7 +233,7 @@
         BOOST_TEST((suspects == std::vector { token } || reset.has_value()));
         if (row.reportedAge)
             fixture.router.pool().recordAnnouncement(
-                token, fixture.now - std::chrono::milliseconds(*row.reportedAge), fixture.now);
+                token, fixture.now - std::chrono::milliseconds(*row.reportedAge), row.reporter, fixture.now);
     }
     BOOST_CHECK(reset == row.reset);
 }
