Fleet: Keep the lease of a live server when an older record arrives

Cause: directory_view::applyRecord() replaced what was known about the liveness of a server by what a record says, however old it was. A control host that restarts sends its saved directory to all balancers, with an age of 4 s and without an announcer. So every server that announces itself to another control host lost its lease at every balancer, and since that control host sends its token only once, nothing renewed it afterwards. The same happened with a page of a control host that the server had left, whose record says that it is late there. Such a server - is chosen for new flows only if there is no other; - counts as presumed dead after a few repeated packets, because only a server with a lease is asked for its last announcement first; - counts as timed out, so that a late announcement of an earlier holder takes its address, or of an earlier incarnation its record.

Change: a record replaces the liveness only if it is later: later than any confirmation, if no control host confirms the server from then on; later than the last announcement that is known, otherwise. A record of another incarnation replaces it in any case.

Evidence: four of the six rows of page_ends_no_renewal_by_a_later_announcer failed before (restored record, twice; late, and not yet late, at the control host that the server has left); all pass now, as do the other cases of test_fleet.

--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -29,11 +29,21 @@
         refresh(id);
 }
 
+bool directory_view::isLaterThan(received_record const& record, tracked_server const& server)
+{
+    // Without a control host that confirms the server from now on, the record must be later than any confirmation.
+    if (!record.announcer || record.isLate)
+        return record.lastSeenAt > server.liveness().latest();
+    return record.lastSeenAt >= server.lastSeenAt;
+}
+
 void directory_view::applyRecord(received_record const& record, monotonic_time now, changes& result)
 {
     auto const& announcement = record.announcement;
     refresh(announcement.id);
     refreshClaimants(announcement.address);
+    auto const* const known = m_directory.find(announcement.id);
+    bool const isSameIncarnation = known && known->announcement.startedAtMs == announcement.startedAtMs;
     auto const effect = m_directory.apply(announcement, record.lastSeenAt, now);
     if (effect == announcement_effect::Deferred) {
         m_deferred[announcement.id] = record;
@@ -45,12 +55,17 @@
     server.id = announcement.id;
     if (effect == announcement_effect::Ignored && isKnown)
         return;
-    server.announcer = record.announcer;
-    server.isLate = record.isLate;
-    server.lastSeenAt = record.lastSeenAt;
-    if (effect == announcement_effect::Added || effect == announcement_effect::Changed)
+    bool const isLater = !isKnown || !isSameIncarnation || isLaterThan(record, server);
+    if (isLater) {
+        server.announcer = record.announcer;
+        server.isLate = record.isLate;
+        server.lastSeenAt = record.lastSeenAt;
+    }
+    bool const hasChanged = effect == announcement_effect::Added || effect == announcement_effect::Changed;
+    if (hasChanged)
         result.changed.push_back(announcement.id);
-    result.renewed.emplace_back(token, server.liveness());
+    if (hasChanged || isLater)
+        result.renewed.emplace_back(token, server.liveness());
 }
 
 void directory_view::applyDeferredRecords(monotonic_time now, changes& result)
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -102,6 +102,9 @@
     };
 
     static std::shared_ptr<announcer_lease> leaseOf(announcer_feed& feed, uint64_t epoch);
+    /// @return Whether the record says more about the liveness of the server than what is known. A control host may
+    ///     send a record long after the server has begun to announce itself to another one.
+    static bool isLaterThan(received_record const& record, tracked_server const& server);
     void applyRecord(received_record const& record, monotonic_time now, changes& result);
     void applyDeferredRecords(monotonic_time now, changes& result);
     void applyRenewals(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
--- /dev/null
+++ b/Tests/Fleet/test_directory_view.cpp
@@ -0,0 +1,70 @@
+#include "directory_fixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bilberryyard;
+
+namespace {
+
+enum class reporting_host : uint8_t {
+    /// Neither the receiver nor the sender knows to which control host the server announced itself.
+    Unknown,
+    First,
+    Second,
+};
+
+struct report_row {
+    char const* name;
+    /// Control host that the page names as the announcer of the server; the first one sends the page.
+    reporting_host announcer;
+    uint64_t sequence;
+    int ageMs;
+    bool isLate;
+    /// Control host whose lease renews the server afterwards.
+    reporting_host expected;
+};
+std::ostream& operator<<(std::ostream& stream, report_row const& row) { return stream << row.name; }
+
+report_row const reportRows[] = {
+    { "restored record without an announcer", reporting_host::Unknown, 4, 4'000, false, reporting_host::Second },
+    { "restored record with the sequence number that is known", reporting_host::Unknown, 1, 4'000, false,
+        reporting_host::Second },
+    { "late at the control host that it left", reporting_host::First, 4, 7'000, true, reporting_host::Second },
+    { "not yet late at the control host that it left", reporting_host::First, 4, 5'100, false, reporting_host::Second },
+    { "confirmed by the sender for the other control host", reporting_host::Second, 4, 100, false,
+        reporting_host::Second },
+    { "announced to the sender since", reporting_host::First, 9, 200, false, reporting_host::First },
+};
+
+// Guards against a page about a live server, from a control host that it has left, that ends its renewal by the one
+// that it announces itself to: it then counts as timed out, and a late announcement takes its address from it.
+BOOST_DATA_TEST_CASE_F(directory_fixture, page_ends_no_renewal_by_a_later_announcer, reportRows, row)
+{
+    directory_feed first({}, 5);
+    directory_feed second({}, 6);
+    directory_view view;
+    first.announce(announcementOf(1, 1), at(0));
+    view.apply(controlHost(1), *first.drainChanges(at(0)), at(0));
+    second.recordElsewhere(announcementOf(1, 1));
+    second.announce(announcementOf(1, 5), at(5'000));
+    view.apply(controlHost(2), *second.drainChanges(at(5'000)), at(5'000));
+    view.apply(controlHost(2), second.lease(), at(9'900));
+
+    auto const index = row.announcer == reporting_host::Unknown ? 0U : static_cast<uint32_t>(row.announcer) - 1U;
+    std::vector<feed_position> positions { { controlHost(1), 5, 1 }, { controlHost(2), 6, 1 } };
+    if (row.announcer == reporting_host::Unknown)
+        positions = { {} };
+    directory_pages pages;
+    aged_announcement const record { announcementOf(1, row.sequence), std::chrono::milliseconds(row.ageMs) };
+    pages.assign({ { record, row.isLate, index } }, std::move(positions), server_scope::All);
+    view.apply(controlHost(1), pages.pageAt({}, "zone-1"), at(10'000));
+
+    view.apply(controlHost(1), first.lease(), at(12'000));
+    view.apply(controlHost(2), second.lease(), at(13'000));
+    bool const isSecond = row.expected == reporting_host::Second;
+    BOOST_CHECK(view.livenessOf(idOf(1)).latest() == at(isSecond ? 13'000 : 12'000));
+}
+
+} // namespace
