Fleet: Take back the time of a server when it is reported as late

Cause: the directory of a balancer remembers when each server was last seen, as the maximum over all confirmations. A control host that was suspended renews its lease for up to 2.9 s after it has resumed before it reports any server as late, and then reports the true age. The directory kept the time of the lease. A dead server of a reused address so looked as if it had been seen later than the server that has the address now, by up to the length of the suspension, and took the address until the latter was seen later: for as long as its control host could not be reached. Besides, a renewal by token or a late report only took effect on an address with the next evaluation, up to 0.7 s later.

Change: the time is set to what is known now, also to an earlier one, and an address that several servers announce is evaluated again at once when one of them is renewed or reported as late.

The dead server may still have the address between the first lease and the report, if the balancer hears the resumed control host and not the one of the present server for 4 s.

--- a/Libraries/Membership/backend_directory.cpp
+++ b/Libraries/Membership/backend_directory.cpp
@@ -196,11 +196,11 @@
     return announcement_effect::Changed;
 }
 
-void backend_directory::renew(std::string const& id, monotonic_time receivedAt)
+void backend_directory::setLastSeen(std::string const& id, monotonic_time receivedAt)
 {
     auto const entry = m_entries.find(id);
     if (entry != m_entries.end())
-        entry->second.lastSeenAt = std::max(entry->second.lastSeenAt, receivedAt);
+        entry->second.lastSeenAt = receivedAt;
 }
 
 std::vector<std::string> backend_directory::expire(monotonic_time now)
--- a/Libraries/Membership/backend_directory.h
+++ b/Libraries/Membership/backend_directory.h
@@ -66,9 +66,9 @@
     /// @param receivedAt When a control host received it.
     announcement_effect apply(backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now);
 
-    /// Records that a known server is alive; has no effect for an unknown one.
+    /// Records when a server was last seen, which may be earlier than assumed before. Ignores unknown servers.
     /// @param receivedAt When a control host received its announcement.
-    void renew(std::string const& id, monotonic_time receivedAt);
+    void setLastSeen(std::string const& id, monotonic_time receivedAt);
 
     /// Replaces the services that the configuration names. Before the first call no server displaces another one.
     void setServices(std::set<std::string> services);
@@ -78,6 +78,8 @@
 
     /// Derives again who has the addresses that several servers announce, as this depends on when they were last seen.
     void reevaluateAddresses();
+    /// The same for one address.
+    void reevaluate(ip_endpoint const& address);
 
     /// @return Identifiers of servers that were displaced, or returned, since the last call.
     std::vector<std::string> drainDisplacementChanges() { return std::exchange(m_displacementChanges, {}); }
@@ -112,7 +114,6 @@
     void updateEntry(backend_entry& entry, backend_announcement const& announcement, monotonic_time now);
     void addClaim(backend_announcement const& announcement);
     void removeClaim(backend_announcement const& announcement);
-    void reevaluate(ip_endpoint const& address);
 
     backend_directory_settings m_settings;
     std::map<std::string, backend_entry> m_entries;
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -20,7 +20,7 @@
 {
     auto const server = m_servers.find(flowToken(id));
     if (server != m_servers.end())
-        m_directory.renew(id, server->second.liveness().latest());
+        m_directory.setLastSeen(id, server->second.liveness().latest());
 }
 
 void directory_view::refreshClaimants(ip_endpoint const& address)
@@ -29,6 +29,16 @@
         refresh(id);
 }
 
+void directory_view::reevaluateAddressOf(std::string const& id)
+{
+    refresh(id);
+    auto const* const entry = m_directory.find(id);
+    if (!entry || !m_directory.contestedAddresses().contains(entry->announcement.address))
+        return;
+    refreshClaimants(entry->announcement.address);
+    m_directory.reevaluate(entry->announcement.address);
+}
+
 bool directory_view::isLaterThan(received_record const& record, tracked_server const& server)
 {
     // Without a control host that confirms the server from now on, the record must be later than any confirmation.
@@ -113,10 +123,10 @@
             }
             continue;
         }
-        m_directory.renew(server->second.id, now);
         server->second.announcer = announcer;
         server->second.isLate = false;
         server->second.lastSeenAt = now;
+        reevaluateAddressOf(server->second.id);
         result.renewed.emplace_back(token, server->second.liveness());
     }
 }
@@ -131,6 +141,7 @@
             continue;
         server->second.isLate = true;
         server->second.lastSeenAt = now - late.age;
+        reevaluateAddressOf(server->second.id);
         result.renewed.emplace_back(late.token, server->second.liveness());
     }
 }
@@ -205,7 +216,7 @@
 std::vector<std::string> directory_view::expire(monotonic_time now)
 {
     for (auto const& [token, server] : m_servers)
-        m_directory.renew(server.id, server.liveness().latest());
+        m_directory.setLastSeen(server.id, server.liveness().latest());
     auto removedIds = m_directory.expire(now);
     for (auto const& id : removedIds) {
         m_servers.erase(flowToken(id));
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -114,6 +114,8 @@
     /// Updates the directory's own time of a server, so that its timeouts count from the latest lease.
     void refresh(std::string const& id);
     void refreshClaimants(ip_endpoint const& address);
+    /// Derives again who has the server's address, after its liveness has changed.
+    void reevaluateAddressOf(std::string const& id);
 
     backend_directory m_directory;
     std::map<ip_endpoint, announcer_feed> m_feeds;
--- a/Tests/Fleet/test_directory_view.cpp
+++ b/Tests/Fleet/test_directory_view.cpp
@@ -67,4 +67,54 @@
     BOOST_CHECK(view.livenessOf(idOf(1)).latest() == at(isSecond ? 13'000 : 12'000));
 }
 
+struct resumed_row {
+    char const* name;
+    /// Whether the control host reports, after it has resumed, that the earlier server at the address is late.
+    bool isReportedLate;
+    /// Whether the control host of the present server sends its liveness again.
+    bool isRenewed;
+};
+std::ostream& operator<<(std::ostream& stream, resumed_row const& row) { return stream << row.name; }
+
+resumed_row const resumedRows[] = {
+    { "earlier server reported as late", true, false },
+    { "present server renewed", false, true },
+};
+
+// Guards against a dead server that keeps an address, and the flows of the server that has it now are reset, because
+// its control host was suspended and renewed its lease for some seconds after it had resumed.
+BOOST_DATA_TEST_CASE_F(directory_fixture, lease_of_a_resumed_host_displaces_no_server, resumedRows, row)
+{
+    auto const earlier = announcementOf(1, 1);
+    auto present = announcementOf(2, 1);
+    present.address = earlier.address;
+    present.service = earlier.service;
+    present.startedAtMs = earlier.startedAtMs + 3'000;
+    directory_feed first({}, 5);
+    directory_feed second({}, 6);
+    directory_view view;
+    view.setServices({ earlier.service }, at(0));
+    first.announce(earlier, at(0));
+    view.apply(controlHost(1), *first.drainChanges(at(0)), at(0));
+    checkLate(first, 0, 400);
+    // The first control host is suspended until 9 s. This host receives nothing from the second one after 4 s.
+    second.announce(present, at(3'000));
+    view.apply(controlHost(2), *second.drainChanges(at(3'000)), at(3'000));
+    for (int time = 9'000; time <= 11'600; time += 400) {
+        checkLate(first, time, time);
+        view.apply(controlHost(1), first.lease(), at(time));
+    }
+    view.reevaluate(at(11'700));
+    if (row.isReportedLate) {
+        checkLate(first, 12'000, 12'000);
+        view.apply(controlHost(1), *first.drainChanges(at(12'000)), at(12'000));
+    }
+    if (row.isRenewed) {
+        second.contradictLate(present.id, at(0));
+        view.apply(controlHost(2), *second.drainChanges(at(12'000)), at(12'000));
+    }
+    BOOST_CHECK(view.directory().find(present.id)->state() == backend_state::Ready);
+    BOOST_CHECK(view.directory().find(earlier.id)->state() == backend_state::Gone);
+}
+
 } // namespace
--- a/Tests/Membership/test_backend_directory.cpp
+++ b/Tests/Membership/test_backend_directory.cpp
@@ -246,7 +246,7 @@
     directory.apply(announcementOf("i-1", 80, 200, 1, ready), at(0), at(0));
     directory.apply(announcementOf("i-2", 80, 100, 1, ready), at(2'500), at(2'500));
     BOOST_CHECK(directory.find("i-2")->state() == gone);
-    directory.renew("i-2", at(4'000));
+    directory.setLastSeen("i-2", at(4'000));
     directory.reevaluateAddresses();
     BOOST_CHECK(directory.find("i-2")->state() == ready);
     BOOST_CHECK(directory.find("i-1")->state() == gone);
