--- a/Tests/Placement/test_load_patterns.cpp
+++ b/Tests/Placement/test_load_patterns.cpp
@@ -272,7 +272,7 @@
     for (int repeat = 0; repeat < 2; ++repeat) {
         fixture.advance(200);
         lease->renewedAt = fixture.now;
-        fixture.router.pool().recordAnnouncement(token, lastSeenAt, fixture.now);
+        fixture.router.pool().recordAnnouncement(token, lastSeenAt, announcement_reporter::Announcer, fixture.now);
         for (uint16_t caller = 20'001; caller < 20'005; ++caller)
             fixture.request(caller, token);
     }
