Membership: Let no late message of another incarnation end a live server

Cause: the start time alone ordered the incarnations of an identifier. - After a restart with a clock that had been set back, a late announcement of the earlier incarnation replaced the live one at once, with its address, and the live one was ignored until it had been unseen for 4 s. An incarnation that was replaced in error lost its record again to the next late announcement. - A leave ended the known incarnation also if it named a later start time, or none; and an incarnation that has left never returns. - A leave of a later incarnation, which another control host had seen, was stored and sent with the start time of the earlier one, so the balancers that knew the later one ignored it; after the leave of the earlier one it was ignored here already. - A server that left and started again with an earlier start time was ignored for the 120 s of the retention.

Change: the directory remembers the start times of the last four incarnations that others have replaced. None of them replaces its successor while that is seen, nor returns after the successor has left. A leave of an unknown later incarnation does not end a server that was seen in the last 4 s; otherwise it is stored with its own start time. A leave without a start time is ignored if the server was seen 4 s or more after it. A start time that is earlier than that of a server which has left, and that is not known to have ended, counts after 4 s.

--- a/Libraries/Membership/backend_directory.cpp
+++ b/Libraries/Membership/backend_directory.cpp
@@ -4,6 +4,28 @@
 
 namespace bilberryyard {
 
+namespace {
+
+    // Late announcements come from the last few incarnations.
+    constexpr size_t maximumEndedStarts = 4;
+
+    bool hasEnded(backend_entry const& known, int64_t startedAtMs)
+    {
+        return std::find(known.endedStarts.begin(), known.endedStarts.end(), startedAtMs) != known.endedStarts.end();
+    }
+
+    void recordRestart(backend_entry& entry, int64_t startedAtMs)
+    {
+        auto& ended = entry.endedStarts;
+        // An incarnation that was taken for an ended one has returned.
+        std::erase(ended, startedAtMs);
+        ended.push_back(entry.announcement.startedAtMs);
+        if (ended.size() > maximumEndedStarts)
+            ended.erase(ended.begin());
+    }
+
+} // namespace
+
 backend_directory::backend_directory(backend_directory_settings const& settings)
     : m_settings(settings)
 {
@@ -110,15 +132,16 @@
     // Another program may have announced the identifier with any start time and sequence number.
     if (m_services && !isConfigured(stored) && isConfigured(announcement) && stored.state != backend_state::Gone)
         return false;
-    bool const hadTimedOut = receivedAt - known.lastSeenAt >= m_settings.announcementTimeout;
-    if (announcement.startedAtMs == stored.startedAtMs) {
-        if (stored.state == backend_state::Gone)
-            return true;
-        return announcement.sequence < stored.sequence && !hadTimedOut;
-    }
-    if (announcement.startedAtMs > stored.startedAtMs)
+    bool const hadTimedOut = hasTimedOut(known, receivedAt);
+    bool const hasLeft = stored.state == backend_state::Gone;
+    if (announcement.startedAtMs == stored.startedAtMs)
+        return hasLeft || (announcement.sequence < stored.sequence && !hadTimedOut);
+    bool const isOfEnded = hasEnded(known, announcement.startedAtMs);
+    if (announcement.startedAtMs > stored.startedAtMs && !isOfEnded)
         return false;
-    return stored.state == backend_state::Gone || !hadTimedOut;
+    // A server that has left may start again after its wall clock has stepped back.
+    bool const mayHaveEnded = isOfEnded || announcement.startedAtMs == 0;
+    return (hasLeft && mayHaveEnded) || !hadTimedOut;
 }
 
 void backend_directory::updateEntry(backend_entry& entry, backend_announcement const& announcement, monotonic_time now)
@@ -169,10 +192,28 @@
             reevaluate(announcement.address);
         return announcement_effect::Renewed;
     }
+    if (announcement.startedAtMs != entry.announcement.startedAtMs)
+        recordRestart(entry, announcement.startedAtMs);
     updateEntry(entry, announcement, now);
     return announcement_effect::Changed;
 }
 
+bool backend_directory::isOutdatedLeave(
+    backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const
+{
+    auto const& stored = known.announcement;
+    bool const hasLeft = stored.state == backend_state::Gone;
+    if (announcement.startedAtMs == stored.startedAtMs)
+        return hasLeft;
+    // A leave without a start time may be that of any incarnation, so one that the server has outlived is not its own.
+    if (announcement.startedAtMs == 0)
+        return hasLeft || known.lastSeenAt - receivedAt >= m_settings.announcementTimeout;
+    if (announcement.startedAtMs < stored.startedAtMs || hasEnded(known, announcement.startedAtMs))
+        return true;
+    // If the server announces itself, the later start time is that of an earlier incarnation whose clock was ahead.
+    return !hasLeft && !hasTimedOut(known, receivedAt);
+}
+
 announcement_effect backend_directory::applyLeave(
     backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now)
 {
@@ -186,12 +227,11 @@
         return announcement_effect::Added;
     }
     auto& entry = known->second;
-    auto const& stored = entry.announcement;
-    bool const isOfEarlierIncarnation = announcement.startedAtMs != 0 && announcement.startedAtMs < stored.startedAtMs;
-    if (stored.state == backend_state::Gone || isOfEarlierIncarnation)
+    if (isOutdatedLeave(entry, announcement, receivedAt))
         return announcement_effect::Ignored;
-    auto goneAnnouncement = stored;
+    auto goneAnnouncement = entry.announcement;
     goneAnnouncement.state = backend_state::Gone;
+    goneAnnouncement.startedAtMs = std::max(announcement.startedAtMs, entry.announcement.startedAtMs);
     updateEntry(entry, goneAnnouncement, now);
     return announcement_effect::Changed;
 }
--- a/Libraries/Membership/backend_directory.h
+++ b/Libraries/Membership/backend_directory.h
@@ -46,6 +46,8 @@
     uint64_t revision = 0;
     /// Identifier of the server that has taken over the address; empty if there is none.
     std::string displacedBy {};
+    /// Start times of earlier incarnations that a later announcement has replaced, the latest last.
+    std::vector<int64_t> endedStarts {};
 
     /// @return The announced state; Gone if another server has taken over the address.
     backend_state state() const { return displacedBy.empty() ? announcement.state : backend_state::Gone; }
@@ -101,6 +103,10 @@
     uint64_t advanceRevision() { return ++m_revision; }
 
 private:
+    bool hasTimedOut(backend_entry const& known, monotonic_time receivedAt) const
+    {
+        return receivedAt - known.lastSeenAt >= m_settings.announcementTimeout;
+    }
     bool isOutdated(
         backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const;
     /// @return Whether the announcement would move a live server of a configured service to another address, although
@@ -109,6 +115,9 @@
         backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const;
     /// @return Whether `candidate` has taken over the address that both servers announce.
     bool supersedes(backend_entry const& candidate, backend_entry const& other) const;
+    /// @return Whether the leave is that of another incarnation than the known one, which may still be alive.
+    bool isOutdatedLeave(
+        backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const;
     announcement_effect applyLeave(
         backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now);
     void updateEntry(backend_entry& entry, backend_announcement const& announcement, monotonic_time now);
--- a/Tests/Membership/test_backend_directory.cpp
+++ b/Tests/Membership/test_backend_directory.cpp
@@ -281,6 +281,94 @@
     BOOST_CHECK(directory.apply(row.second, at(500), at(500)) == row.effect);
 }
 
+struct incarnation_step {
+    int atMs;
+    backend_announcement announcement;
+    announcement_effect effect;
+};
+struct incarnation_row {
+    char const* name;
+    /// Announcements of one server, in the order of arrival.
+    std::vector<incarnation_step> steps;
+    backend_state stateAfter;
+    /// Start time of the incarnation that the entry describes at the end.
+    int64_t startedAtMs;
+};
+std::ostream& operator<<(std::ostream& stream, incarnation_row const& row) { return stream << row.name; }
+
+incarnation_row const incarnationRows[] = {
+    { "late announcement of an incarnation whose clock was ahead",
+        { { 0, announcementOf("i-1", 80, 200, 9, ready), announcement_effect::Added },
+            { 4'100, announcementOf("i-1", 81, 100, 1, ready), announcement_effect::Changed },
+            { 4'500, announcementOf("i-1", 80, 200, 10, ready), announcement_effect::Ignored } },
+        ready, 100 },
+    { "incarnation that was replaced in error returns",
+        { { 0, announcementOf("i-1", 80, 100, 9, ready), announcement_effect::Added },
+            { 500, announcementOf("i-1", 81, 200, 1, ready), announcement_effect::Changed },
+            { 4'600, announcementOf("i-1", 80, 100, 12, ready), announcement_effect::Changed },
+            { 5'800, announcementOf("i-1", 80, 100, 13, ready), announcement_effect::Renewed },
+            { 5'900, announcementOf("i-1", 81, 200, 2, ready), announcement_effect::Ignored } },
+        ready, 100 },
+    { "late leave of an incarnation whose clock was ahead",
+        { { 0, announcementOf("i-1", 80, 200, 9, ready), announcement_effect::Added },
+            { 4'100, announcementOf("i-1", 81, 100, 1, ready), announcement_effect::Changed },
+            { 9'000, announcementOf("i-1", 0, 200, 0, gone), announcement_effect::Ignored } },
+        ready, 100 },
+    { "leave of an unknown incarnation while the known one announces itself",
+        { { 0, announcementOf("i-1", 80, 100, 9, ready), announcement_effect::Added },
+            { 500, announcementOf("i-1", 0, 200, 0, gone), announcement_effect::Ignored } },
+        ready, 100 },
+    { "leave of a later incarnation that another control host has seen",
+        { { 0, announcementOf("i-1", 80, 100, 9, ready), announcement_effect::Added },
+            { 9'000, announcementOf("i-1", 0, 200, 0, gone), announcement_effect::Changed },
+            { 9'100, announcementOf("i-1", 81, 200, 3, ready), announcement_effect::Ignored } },
+        gone, 200 },
+    { "leave of a later incarnation after that of an earlier one",
+        { { 0, announcementOf("i-1", 80, 100, 9, ready), announcement_effect::Added },
+            { 1'000, announcementOf("i-1", 0, 100, 0, gone), announcement_effect::Changed },
+            { 9'000, announcementOf("i-1", 0, 200, 0, gone), announcement_effect::Changed } },
+        gone, 200 },
+    { "start after a leave, with a clock that was set back",
+        { { 0, announcementOf("i-1", 80, 200, 9, ready), announcement_effect::Added },
+            { 1'000, announcementOf("i-1", 0, 200, 0, gone), announcement_effect::Changed },
+            { 4'200, announcementOf("i-1", 80, 100, 1, ready), announcement_effect::Changed } },
+        ready, 100 },
+    { "late announcement of an earlier incarnation after the leave of a later one",
+        { { 0, announcementOf("i-1", 80, 100, 9, ready), announcement_effect::Added },
+            { 500, announcementOf("i-1", 80, 200, 1, ready), announcement_effect::Changed },
+            { 1'000, announcementOf("i-1", 0, 200, 0, gone), announcement_effect::Changed },
+            { 9'000, announcementOf("i-1", 80, 100, 10, ready), announcement_effect::Ignored } },
+        gone, 200 },
+    { "announcement without a start time after a leave",
+        { { 0, announcementOf("i-1", 80, 200, 9, ready), announcement_effect::Added },
+            { 1'000, announcementOf("i-1", 0, 200, 0, gone), announcement_effect::Changed },
+            { 9'000, announcementOf("i-1", 80, 0, 1, ready), announcement_effect::Ignored } },
+        gone, 200 },
+};
+
+// Guards against a live server that counts as departed, or as one at another address, because of a late announcement
+// or leave of another incarnation of its identifier.
+BOOST_DATA_TEST_CASE(announcement_of_another_incarnation_ends_no_live_one, incarnationRows, row)
+{
+    auto directory = configuredDirectory();
+    for (auto const& step : row.steps) {
+        BOOST_TEST_CONTEXT("at " << step.atMs)
+        BOOST_CHECK(directory.apply(step.announcement, at(step.atMs), at(step.atMs)) == step.effect);
+    }
+    BOOST_CHECK(directory.find("i-1")->state() == row.stateAfter);
+    BOOST_TEST(directory.find("i-1")->announcement.startedAtMs == row.startedAtMs);
+}
+
+// Guards against a leave without a start time, resent after a gap, that ends the next incarnation of the identifier.
+BOOST_AUTO_TEST_CASE(outlived_leave_without_a_start_time_is_ignored)
+{
+    auto directory = configuredDirectory();
+    directory.apply(announcementOf("i-1", 80, 200, 1, ready), at(0), at(0));
+    auto const leave = announcementOf("i-1", 0, 0, 0, gone);
+    BOOST_CHECK(directory.apply(leave, at(-4'000), at(100)) == announcement_effect::Ignored);
+    BOOST_CHECK(directory.apply(leave, at(-3'900), at(100)) == announcement_effect::Changed);
+}
+
 // Guards against an outdated record that another control host resends after a later announcement of the server.
 BOOST_AUTO_TEST_CASE(old_record_of_another_host_is_ignored)
 {
