Placement: Forward a delayed handshake packet to the flow's own server

A balancer that had stood still, or started late, processed handshake packets whose flow had been established meanwhile. It could refuse them with a reset, send them to another server, and replace what it had observed of the flow: the load of the server fell by an open flow and rose by a handshake.

Cause: token_router::open() looked only at the server of a tracked flow, not at whether the caller had already acknowledged it.

Change: a handshake packet whose sequence number precedes the data of a flow that is tracked past its handshake goes to the flow's server. Other sequence numbers belong to a new flow with the same endpoints, which is placed as before.

The test of endpoints that are used again fails when the sequence number is not compared.

--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -7,6 +7,9 @@
     // Compares sequence numbers modulo 2^32 (RFC 9293 section 3.4).
     bool isAfter(uint32_t left, uint32_t right) { return static_cast<int32_t>(left - right) > 0; }
 
+    // A handshake packet is delayed for a few seconds at most. In that time, callers send less than this.
+    constexpr uint32_t maximumBytesSinceHandshake = 1 << 20;
+
     void decrease(uint32_t& count)
     {
         if (count > 0)
@@ -27,6 +30,15 @@
     return flow == m_flows.end() ? noToken : flow->second.token;
 }
 
+bool flow_observer::isOutdatedHandshake(caller_packet const& packet) const
+{
+    auto const flow = m_flows.find(packet.flowEndpoints);
+    if (flow == m_flows.end() || flow->second.state == phase::Opening)
+        return false;
+    // The handshake occupies one sequence number; wraps around for a packet that is newer than the flow's data.
+    return flow->second.sentEnd - (packet.sequence + 1) <= maximumBytesSinceHandshake;
+}
+
 flow_observation flow_observer::observationOf(flow_endpoints const& flowEndpoints, monotonic_time now) const
 {
     auto const flow = m_flows.find(flowEndpoints);
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -28,6 +28,10 @@
     /// @return Token of the server that the flow's packets are forwarded to, or noToken for an untracked flow.
     uint32_t serverTokenOf(flow_endpoints const& flowEndpoints) const;
 
+    /// @return Whether the packet is a handshake packet of a flow that its caller has already acknowledged as
+    ///     established, so that it was delayed, and not the first packet of another flow with the same endpoints.
+    bool isOutdatedHandshake(caller_packet const& packet) const;
+
     /// @return What is known of the flow; an empty value for an untracked one.
     flow_observation observationOf(flow_endpoints const& flowEndpoints, monotonic_time now) const;
 
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -101,6 +101,10 @@
 
 packet_decision token_router::open(caller_packet const& packet, monotonic_time now)
 {
+    if (m_observer.isOutdatedHandshake(packet)) {
+        auto const* const server = m_pool.find(m_observer.serverTokenOf(packet.flowEndpoints));
+        return server ? packet_decision(forwardTo(*server)) : discard_packet { discard_reason::UnknownToken };
+    }
     if (!m_routes)
         return discard_packet { discard_reason::NoConfiguration };
     auto const route = m_routes->routes.find(packet.flowEndpoints.service);
--- a/Tests/Placement/placement_fixture.h
+++ b/Tests/Placement/placement_fixture.h
@@ -55,6 +55,26 @@
         router.pool().update(*directory.find(announcement.id), now);
     }
 
+    /// Makes servers respond late for so long that new flows of this fixture's caller are refused.
+    void overload(std::string const& service = "orders")
+    {
+        auto table = std::make_shared<route_table>(*router.routes());
+        ++table->version;
+        for (auto& [address, route] : table->routes)
+            route.targetLatency = std::chrono::milliseconds(100);
+        router.setRoutes(table);
+        auto const token = router.pool().select(service, request_kind::Idempotent, now)->token;
+        auto const respond = [&](int count, int milliseconds) {
+            for (int i = 0; i < count; ++i) {
+                advance(10);
+                router.pool().recordResponseTime(
+                    *router.pool().find(token), std::chrono::milliseconds(milliseconds), now);
+            }
+        };
+        respond(50, 10);
+        respond(500, 1'000);
+    }
+
     void advance(int milliseconds) { now += std::chrono::milliseconds(milliseconds); }
 
     caller_packet packetOf(uint16_t callerPort, uint16_t port = idempotentPort) const
--- a/Tests/Placement/test_token_router.cpp
+++ b/Tests/Placement/test_token_router.cpp
@@ -234,6 +234,105 @@
     BOOST_TEST(placement_fixture::targetOf(fixture.open(40'000, 1)).value() == token);
 }
 
+enum class opened_through : uint8_t {
+    ThisBalancer,
+    AnotherBalancer,
+};
+
+enum class later_event : uint8_t {
+    None,
+    ServiceIsOverloaded,
+    RouteIsRemoved,
+    ServerDrains,
+    ServerIsUnresponsive,
+};
+
+struct delayed_row {
+    char const* name;
+    opened_through path;
+    later_event event;
+};
+std::ostream& operator<<(std::ostream& stream, delayed_row const& row) { return stream << row.name; }
+
+delayed_row const delayedRows[] = {
+    { "nothing has changed", opened_through::ThisBalancer, later_event::None },
+    { "opened through another balancer", opened_through::AnotherBalancer, later_event::None },
+    { "overloaded", opened_through::ThisBalancer, later_event::ServiceIsOverloaded },
+    { "overloaded, opened through another balancer", opened_through::AnotherBalancer,
+        later_event::ServiceIsOverloaded },
+    { "route removed", opened_through::ThisBalancer, later_event::RouteIsRemoved },
+    { "server draining", opened_through::ThisBalancer, later_event::ServerDrains },
+    { "server draining, opened through another balancer", opened_through::AnotherBalancer, later_event::ServerDrains },
+    { "server unresponsive", opened_through::ThisBalancer, later_event::ServerIsUnresponsive },
+};
+
+void removeRoutes(placement_fixture& fixture)
+{
+    route_table table;
+    table.version = 2;
+    table.services = { { "orders", 2'000 }, { "gallery", 2'000 } };
+    fixture.router.setRoutes(std::make_shared<route_table const>(table));
+}
+
+// Guards against a delayed repetition of a handshake packet that resets a flow which has been established meanwhile,
+// places it at a second server, or discards what the balancer has observed of it.
+BOOST_DATA_TEST_CASE(delayed_handshake_packet_does_not_affect_an_established_flow, delayedRows, row)
+{
+    placement_fixture fixture;
+    fixture.announce(1);
+    fixture.announce(2);
+    auto const token = row.path == opened_through::ThisBalancer
+        ? placement_fixture::targetOf(fixture.open(40'000)).value()
+        : placement_fixture::tokenOf(2);
+    fixture.completeHandshake(40'000, token);
+    fixture.request(40'000, token);
+    auto& backend = *fixture.router.pool().find(token);
+    switch (row.event) {
+    case later_event::None:
+        break;
+    case later_event::ServiceIsOverloaded:
+        fixture.overload();
+        BOOST_CHECK(placement_fixture::resetOf(fixture.open(41'000)) == reset_reason::Overloaded);
+        break;
+    case later_event::RouteIsRemoved:
+        removeRoutes(fixture);
+        break;
+    case later_event::ServerDrains:
+        fixture.announce(token == placement_fixture::tokenOf(1) ? 1 : 2, "a", backend_state::Draining);
+        fixture.advance(2'000);
+        break;
+    case later_event::ServerIsUnresponsive:
+        fixture.advance(200);
+        fixture.request(40'000, token);
+        break;
+    }
+    auto const load = backend.load;
+    for (uint32_t count = 0; count < 3; ++count)
+        BOOST_CHECK(placement_fixture::targetOf(fixture.open(40'000, count)) == std::optional(token));
+    BOOST_TEST(backend.load.opening == load.opening);
+    BOOST_TEST(backend.load.open == load.open);
+    BOOST_TEST(backend.load.busy == load.busy);
+}
+
+// Guards against a new flow that is taken for a repetition of an earlier one with the same endpoints, whose end passed
+// through another balancer.
+BOOST_AUTO_TEST_CASE(new_flow_with_the_endpoints_of_an_earlier_one_is_placed)
+{
+    placement_fixture fixture;
+    fixture.announce(1);
+    auto const token = fixture.openEstablished(40'000);
+    fixture.announce(1, "a", backend_state::Gone);
+    fixture.announce(2);
+    auto packet = fixture.packetOf(40'000);
+    packet.purpose = packet_purpose::Open;
+    for (uint32_t const sequence : { 2'000'000'000u, 4'000'000'000u }) {
+        packet.sequence = sequence;
+        BOOST_CHECK(placement_fixture::targetOf(fixture.router.decide(packet, fixture.now))
+            == std::optional(placement_fixture::tokenOf(2)));
+    }
+    BOOST_TEST(fixture.router.pool().find(token)->load.open == 0u);
+}
+
 // Guards against a handshake that is repeated at an unresponsive server until its caller times out.
 BOOST_AUTO_TEST_CASE(repeated_handshake_switches_from_an_unresponsive_server)
 {
