Soak: Release servers in series and check who resets an open flow

Its servers left with one attempt and were gone at once, no flow was idle for longer than 0.6 s, and a reset counted only if nothing at all had happened for 5 s.

Servers are released one after another now, beside the other faults. A server that leaves serves on until its leave is acknowledged, for 1 to 4 s at most; the acknowledgement may be slow, late or lost. It then closes its flows with FIN, stays for up to 0.3 s and exits. A draining server closes each flow after its next response. Some flows are idle for up to 10 s before they are used again.

New checks, for flows that are open at a server that is up: - nobody but that server resets the flow; - no three packets of the flow reach other servers for 2 s with none at its own. Excused are loss or delay on the servers' links and kills and pauses of the balancer in question, each for 4 s; not faults of control hosts or of the HTTP calls. The summary counts both kinds by what the server was doing.

Corrected in the simulation: packets of callers and servers have a sum, so that they differ from resets of the system; callers acknowledge each response at once, with the sequence numbers of a byte stream, and answer a FIN. Without the acknowledgement, the balancers took pauses for response times and refused flows as overloaded. The server of a flow is found by its sequence number, since a lost handshake packet may leave a flow half open at a second server.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -7,8 +7,9 @@
 
 Faults: processes are killed, paused, terminated and restarted; disks are lost or full; files of a killed process are
 truncated; another program announces servers that can't be used; settings are changed with SIGHUP; the servers' HTTP
-calls pass a simulated proxy that delays or resets them, drops the response or does not respond; packets between callers and the system are lost or delayed in both directions. Prints the
-seed and the violations; exits with 1 on a violation.
+calls pass a simulated proxy that delays or resets them, drops or delays the response or does not respond; packets
+between callers and the system are lost or delayed in one direction or both. Meanwhile servers are released in series,
+and the acknowledgement of a leave may be late or lost. Prints the seed and the violations; exits with 1 on a violation.
 """
 import argparse
 import asyncio
@@ -26,7 +27,7 @@
 import time
 
 DATA_PORT, READY_PORT, CONTROL_PORT, PEER_PORT, SERVER_PORT = 28172, 28167, 28166, 27720, 28080
-APPLY_S, STABLE_S, DRAIN_S, RECOVER_S = 3.0, 4.0, 3.0, 12.0
+APPLY_S, STABLE_S, DRAIN_S, RECOVER_S, STRAY_S, IDLE_S = 3.0, 4.0, 3.0, 12.0, 2.0, 15.0
 SYN, FIN, RST, ACK = 1, 16, 32, 64
 HEADER = struct.Struct(">B5sIIIIHHIHI")
 VIRTUAL_ADDRESS = struct.unpack(">I", bytes([198, 18, 0, 1]))[0]
@@ -42,31 +43,33 @@
 
 
 def encode_packet(flags, echo, seq, ack, data, dport, src, sport, dst):
-    return HEADER.pack(flags, b"", echo, seq, ack, 0, len(data), dport, src, sport, dst) + data
+    # A sum of 0 marks a reset of the system's own.
+    return HEADER.pack(flags, b"", echo, seq, ack, 1, len(data), dport, src, sport, dst) + data
 
 
 class Endpoint(asyncio.DatagramProtocol):
     """A UDP socket that drops a random share of the packets that it sends and delays each of the others at random."""
 
-    def __init__(self, soak, handler):
-        self.soak, self.handler, self.transport = soak, handler, None
+    def __init__(self, soak, side, handler):
+        self.soak, self.side, self.handler, self.transport = soak, side, handler, None
 
     def connection_made(self, transport):
         self.transport = transport
 
     def datagram_received(self, data, addr):
-        self.handler(data)
+        self.handler(data, addr[0])
 
     def send(self, data, address):
-        if self.soak.random.random() < self.soak.loss or self.transport.is_closing():
+        loss, delay = self.soak.link_quality[self.side]
+        if self.soak.random.random() < loss or self.transport.is_closing():
             return
-        delay = self.soak.random.random() * self.soak.delay
+        delay *= self.soak.random.random()
         asyncio.get_running_loop().call_later(delay, self.transport.sendto, data, address)
 
     @staticmethod
-    async def open(soak, ip, port, handler):
+    async def open(soak, side, ip, port, handler):
         _, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: Endpoint(soak, handler), local_addr=(ip, port))
+            lambda: Endpoint(soak, side, handler), local_addr=(ip, port))
         return protocol
 
 
@@ -84,6 +87,7 @@
         self.data = self.folder / "data"
         self.data.mkdir(parents=True)
         self.process, self.bootstrap, self.disturbed_at = None, True, time.monotonic()
+        self.faulted_at = self.disturbed_at - 60
 
     def write_settings(self, seeds):
         listen = f'Control = "{self.ip}:{CONTROL_PORT}"' if self.role == "control" else (
@@ -113,6 +117,8 @@
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal_number)
         self.disturbed_at = time.monotonic()
+        if signal_number not in (signal.SIGTERM, signal.SIGHUP):
+            self.faulted_at = self.disturbed_at
 
     def set_disk_full(self, is_full):
         """Makes every write to a file fail, or ends that; a restarted process has no limit."""
@@ -134,6 +140,20 @@
         process.wait()
 
 
+class Flow:
+    """A flow as its server holds it; next_seq is that of the server's next byte, expected_seq of the caller's."""
+
+    def __init__(self, first_seq, echo, expected_seq):
+        self.first_seq, self.next_seq, self.echo, self.expected_seq = first_seq, first_seq + 1, echo, expected_seq
+        self.request, self.response_seq = None, 0
+        self.opened_at, self.received_at, self.stray_times = None, time.monotonic(), []
+        self.server_closed, self.caller_closed, self.is_reported = False, False, False
+
+    def is_open(self):
+        return (self.opened_at is not None and not (self.server_closed and self.caller_closed)
+                and time.monotonic() - self.received_at < IDLE_S)
+
+
 class Server:
     """A backend server: announces itself through the proxy, responds to flows and records the executed requests."""
 
@@ -142,27 +162,38 @@
         self.id = "i-" + "%010x" % soak.random.getrandbits(40)
         self.started_ms, self.state, self.seq = int(time.time() * 1000), "ready", 0
         self.flows, self.drained_at, self.dead = {}, None, False
+        self.phase, self.phase_at, self.leave_task = "running", time.monotonic(), None
+
+    def enter_phase(self, phase):
+        self.phase, self.phase_at = phase, time.monotonic()
 
     async def run(self):
-        self.socket = await Endpoint.open(self.soak, self.ip, SERVER_PORT, self.receive)
-        while not self.dead:
+        self.socket = await Endpoint.open(self.soak, "servers", self.ip, SERVER_PORT, self.receive)
+        while not self.dead and self.phase in ("running", "draining"):
             await self.announce("Heartbeat")
             await asyncio.sleep(0.5)
 
-    async def announce(self, kind):
+    async def announce(self, kind, mode=None):
         self.seq += 1
         body = {"Service": self.service, "Addr": f"{self.ip}:{SERVER_PORT}", "Zone": self.zone, "Version": "v1",
                 "Slots": 2, "State": self.state, "ColdLeftMs": 0, "Seq": self.seq, "born": self.started_ms}
         targets = [daemon.ip for daemon in self.soak.controls]
         self.soak.random.shuffle(targets)
         for ip in targets:
-            status, _ = await self.soak.call(ip, "POST", f"/Instances.{kind}/{self.id}", json.dumps(body), proxied=True)
+            status, _ = await self.soak.call(
+                ip, "POST", f"/Instances.{kind}/{self.id}", json.dumps(body), mode or self.soak.proxy_mode)
             if status == 200:
                 if self.state == "draining" and self.drained_at is None:
                     self.drained_at = time.monotonic()
-                return
+                return True
+        return False
 
-    def receive(self, datagram):
+    def reply(self, key, flags, echo, seq, ack, data=b""):
+        src, sport, dport = key
+        self.socket.send(encode_packet(flags, echo, seq, ack, data, sport, VIRTUAL_ADDRESS, dport, src),
+                         (format_address(src), DATA_PORT))
+
+    def receive(self, datagram, sender):
         if self.dead or len(datagram) < 44:
             return
         tag = int.from_bytes(datagram[:8], "big")
@@ -170,58 +201,85 @@
             return
         flags, _, echo, seq, ack, _, length, dport, src, sport, dst = HEADER.unpack(datagram[8:44])
         key, data = (src, sport, dport), datagram[44:44 + length]
-
-        def reply(reply_flags, reply_seq, reply_ack, payload=b""):
-            flow_echo = self.flows[key]["echo"] if key in self.flows else echo
-            self.socket.send(
-                encode_packet(reply_flags, flow_echo, reply_seq, reply_ack, payload, sport, dst, dport, src),
-                (format_address(src), DATA_PORT))
-
+        flow = self.flows.get(key)
         if flags & SYN:
             if ROUTES.get(dport, ("",))[0] != self.service:
                 self.soak.report_violation(f"{self.id} of {self.service} got a flow to port {dport}")
             if self.drained_at and time.monotonic() - self.drained_at > DRAIN_S + 0.5 and self.soak.is_calm(STABLE_S + 4):
                 self.soak.report_violation(
                     f"{self.id} got a new flow {time.monotonic() - self.drained_at:.1f} s after it drained")
-            self.flows.setdefault(key, {"seq": self.soak.random.getrandbits(31), "echo": echo, "next": seq + 1})
-            self.flows[key]["echo"] = echo
-            reply(SYN | ACK, self.flows[key]["seq"], seq + 1)
-        elif key not in self.flows:
+            flow = self.flows.setdefault(key, Flow(self.soak.random.getrandbits(31), echo, seq + 1))
+            flow.echo = echo
+            self.reply(key, SYN | ACK, echo, flow.first_seq, seq + 1)
+            return
+        if not flow or not flow.is_open():
+            self.soak.check_stray_packet(key, self, sender)
+        if not flow:
             if not flags & RST:
-                reply(RST, ack, 0)
+                self.reply(key, ACK if flags & FIN else RST, echo, ack, seq + len(data))
         elif flags & RST:
             del self.flows[key]
         else:
-            flow = self.flows[key]
-            if data and seq == flow["next"]:
-                flow["next"] += len(data)
-                flow["seq"] += 1
-                flow["reply"] = data
-                self.soak.record_execution(data.decode(), ROUTES[dport][1], self)
-            if data and flow.get("reply") == data:
-                reply(ACK, flow["seq"], flow["next"], b"ok " + data)
+            flow.echo, flow.received_at, flow.stray_times = echo, time.monotonic(), []
+            if ack == flow.first_seq + 1 and flow.opened_at is None:
+                flow.opened_at = time.monotonic()
+            self.receive_in_flow(key, flow, flags, seq, data)
+
+    def receive_in_flow(self, key, flow, flags, seq, data):
+        if data and seq == flow.expected_seq and not flow.server_closed:
+            flow.expected_seq += len(data)
+            flow.request, flow.response_seq = data, flow.next_seq
+            flow.next_seq += len(b"ok " + data)
+            self.soak.record_execution(data.decode(), ROUTES[key[2]][1], self)
+            flow.server_closed = self.state == "draining"
+        if data and flow.request == data:
+            # A server that drains closes each flow after its next response.
+            self.reply(key, ACK | FIN if flow.server_closed else ACK, flow.echo, flow.response_seq, flow.expected_seq,
+                       b"ok " + data)
+        if flags & FIN:
+            self.reply(key, ACK if flow.server_closed else ACK | FIN, flow.echo, flow.next_seq, flow.expected_seq + 1)
+            del self.flows[key]
 
     async def leave(self):
+        """Drains, sends the leave and serves on until it is acknowledged, for some seconds at most."""
         self.state = "draining"
-        await asyncio.sleep(5.0)
-        await self.announce("Leave")
+        self.enter_phase("draining")
+        await asyncio.sleep(DRAIN_S + self.soak.random.random() * 2)
+        self.enter_phase("leaving")
+        mode = self.soak.random.choice([None, "slow", "late", "one way"])
+        end = time.monotonic() + 1 + self.soak.random.random() * 3
+        while not await self.announce("Leave", mode) and time.monotonic() < end:
+            await asyncio.sleep(self.soak.random.random() * 0.5)
+        self.enter_phase("exiting")
+        for key, flow in self.flows.items():
+            if flow.opened_at is None:
+                continue
+            flow.server_closed = True
+            self.reply(key, ACK | FIN, flow.echo, flow.next_seq, flow.expected_seq)
+        await asyncio.sleep(self.soak.random.random() * 0.3)
+        self.end()
+
+    def end(self):
         self.dead = True
         self.socket.transport.close()
 
-    def crash(self):
-        self.dead, self.crashed_at = True, time.monotonic()
-        self.socket.transport.close()
-
 
 class Caller:
     def __init__(self, soak, ip):
-        self.soak, self.ip, self.port, self.waiting = soak, ip, 1024, {}
+        self.soak, self.ip, self.port, self.waiting, self.request_targets = soak, ip, 1024, {}, {}
 
     async def start(self):
-        self.socket = await Endpoint.open(self.soak, self.ip, DATA_PORT, self.receive)
-
-    def receive(self, datagram):
-        flags, _, echo, seq, ack, _, length, dport, src, sport, _ = HEADER.unpack(datagram[:36])
+        self.socket = await Endpoint.open(self.soak, "callers", self.ip, DATA_PORT, self.receive)
+
+    def receive(self, datagram, sender):
+        flags, _, echo, seq, ack, checksum, length, dport, src, sport, _ = HEADER.unpack(datagram[:36])
+        key = (parse_address(self.ip), dport, sport)
+        if flags & RST:
+            self.soak.check_reset_of_open_flow(key, sender, "the system" if checksum == 0 else "another server")
+        elif flags & FIN:
+            self.send(ACK, echo, ack, seq + length + 1, b"", sport, dport)
+            asyncio.get_running_loop().call_later(
+                self.soak.random.random() * 0.1, self.close_flow, key, echo, ack, seq + length + 1)
         queue = self.waiting.get(dport)
         if queue is not None:
             queue.put_nowait((flags, echo, seq, ack, datagram[36:36 + length]))
@@ -231,10 +289,20 @@
         if ready:
             # The fabric may send any packet to any balancer.
             target = self.soak.random.choice(ready)
+            if data:
+                self.request_targets[port] = target
+            elif self.request_targets.get(port) in ready:
+                # Otherwise the balancer would count the request as open for as long as the flow is idle.
+                target = self.request_targets.pop(port)
             self.socket.send(
                 encode_packet(flags, echo, seq, ack, data, service_port, parse_address(self.ip), port, VIRTUAL_ADDRESS),
                 (target.ip, DATA_PORT))
 
+    def close_flow(self, key, echo, seq, ack):
+        for _, flow in self.soak.find_open_flows(key):
+            flow.caller_closed = True
+        self.send(FIN | ACK, echo, seq, ack, b"", key[2], key[1])
+
     async def exchange(self, port, send, is_expected, timeouts_s):
         queue = self.waiting[port]
         for attempt, timeout_s in enumerate(timeouts_s):
@@ -245,11 +313,11 @@
                     packet = await asyncio.wait_for(queue.get(), remaining_s)
                 except asyncio.TimeoutError:
                     break
-                if packet[0] & RST or is_expected(packet):
+                if packet[0] & (RST | FIN) or is_expected(packet):
                     return packet
         return None
 
-    async def flow(self, service_port, requests):
+    async def flow(self, service_port, requests, longest_pause_s=0.6):
         """Opens a flow, sends requests with random delays, and returns the number of responses."""
         self.port = 1024 + (self.port - 1023) % 60000
         port, seq = self.port, self.soak.random.getrandbits(31)
@@ -264,7 +332,7 @@
             self.send(ACK, token, seq + 1, peer, b"", service_port, port)
             seq += 1
             opened_at = time.monotonic()
-            server = self.soak.server_by_echo(self, port, service_port)
+            server = self.soak.find_server_of_flow((parse_address(self.ip), port, service_port), packet[2])
             for _ in range(requests):
                 data = self.soak.next_request()
                 packet = await self.exchange(
@@ -272,11 +340,17 @@
                     lambda packet: packet[4] == b"ok " + data, [0.2, 0.4, 0.8, 1.6])
                 if packet is None:
                     return responses
-                if packet[0] & RST:
+                if not packet[0] & RST and packet[4] == b"ok " + data:
+                    token, peer = packet[1], packet[2] + len(packet[4])
+                    seq, responses = seq + len(data), responses + 1
+                    if not packet[0] & FIN:
+                        self.send(ACK, token, seq, peer, b"", service_port, port)
+                        pause_s = self.soak.random.random() * longest_pause_s
+                        packet = await self.exchange(port, lambda attempt: None, lambda packet: False, [pause_s])
+                if packet and packet[0] & RST:
                     self.soak.check_reset(server, opened_at, port, service_port)
+                if packet and packet[0] & (RST | FIN):
                     return responses
-                seq, responses = seq + len(data), responses + 1
-                await asyncio.sleep(self.soak.random.random() * 0.6)
             self.send(FIN | ACK, token, seq, peer, b"", service_port, port)
             return responses
         finally:
@@ -291,7 +365,8 @@
         self.net = f"127.{20 + self.seed % 200}"
         self.wipe_lock = asyncio.Lock()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bilberryyard-soak-"))
-        self.loss, self.delay, self.proxy_mode = 0.0, 0.002, "open"
+        self.link_quality, self.proxy_mode = dict.fromkeys(("callers", "servers"), (0.0, 0.002)), "open"
+        self.server_links_faulted_at, self.open_flow_resets = time.monotonic() - 60, {}
         self.violations, self.runs, self.requests, self.faulted_at = [], {}, 0, time.monotonic()
         self.started_at = time.monotonic()
         self.sent, self.acknowledged, self.results, self.history = {}, [], [], []
@@ -324,18 +399,57 @@
         if kind == "unsafe" and len(servers) > 1:
             self.report_violation(f"{request} is not idempotent and ran at {servers}")
 
-    def server_by_echo(self, caller, port, service_port):
-        key = (parse_address(caller.ip), port, service_port)
-        return next((server for server in self.servers if not server.dead and key in server.flows), None)
+    def find_server_of_flow(self, key, first_seq):
+        return next((server for server in self.servers if not server.dead and key in server.flows
+                     and server.flows[key].first_seq == first_seq), None)
+
+    def find_open_flows(self, key):
+        return [(server, server.flows[key]) for server in self.servers
+                if not server.dead and key in server.flows and server.flows[key].is_open()]
+
+    def is_undisrupted(self, sender):
+        """Whether the servers' links and the balancer that sent a packet were not disrupted of late."""
+        now = time.monotonic()
+        return now - self.server_links_faulted_at > STABLE_S and all(
+            now - daemon.faulted_at > STABLE_S for daemon in self.balancers if daemon.ip == sender)
+
+    def report_flow_violation(self, kind, key, server, flow, sender):
+        if flow.is_reported:
+            return
+        flow.is_reported, now = True, time.monotonic()
+        self.report_violation(
+            f"{kind}: flow {format_address(key[0])}:{key[1]} to port {key[2]}, open for {now - flow.opened_at:.2f} s at "
+            f"{server.id} ({server.phase} for {now - server.phase_at:.2f} s), sender {sender}, proxy {self.proxy_mode}, "
+            f"last fault {now - self.faulted_at:.1f} s ago: {self.history[-4:]}")
+
+    def check_reset_of_open_flow(self, key, sender, origin):
+        """While a server holds a flow open, nobody else may reset it, whatever happens to the control hosts."""
+        for server, flow in self.find_open_flows(key):
+            if sender == server.ip:
+                continue
+            outcome = "violation" if self.is_undisrupted(sender) else "excused"
+            count_key = f"{outcome} by {origin}, {server.phase}"
+            self.open_flow_resets[count_key] = self.open_flow_resets.get(count_key, 0) + 1
+            if outcome == "violation":
+                self.report_flow_violation(f"reset by {origin} while the server serves", key, server, flow, sender)
+
+    def check_stray_packet(self, key, receiver, sender):
+        """The packets of an open flow may not reach other servers only."""
+        for server, flow in self.find_open_flows(key):
+            if server is receiver:
+                continue
+            flow.stray_times.append(time.monotonic())
+            if (len(flow.stray_times) >= 3 and flow.stray_times[-1] - flow.stray_times[0] >= STRAY_S
+                    and self.is_undisrupted(sender)):
+                self.report_flow_violation(f"packets reach {receiver.id} only", key, server, flow, sender)
 
     def check_reset(self, server, opened_at, port, service_port):
         alive = server is not None and not server.dead
         if alive and self.is_calm(STABLE_S + 1) and time.monotonic() - opened_at > 0.1:
             self.report_violation(f"flow {port} to port {service_port} was reset although {server.id} lives")
 
-    async def call(self, ip, method, path, body, proxied=False, timeout_s=1.0):
-        """Makes an HTTP call, through the proxy if requested, and returns the status (0 on failure) and the body."""
-        mode = self.proxy_mode if proxied else "open"
+    async def call(self, ip, method, path, body, mode="open", timeout_s=1.0):
+        """Makes an HTTP call through the proxy in the given mode and returns the status (0 on failure) and the body."""
         if mode == "reset":
             return 0, b""
         if mode == "silent":
@@ -351,6 +465,11 @@
             writer.close()
         except (OSError, asyncio.TimeoutError):
             return 0, b""
+        if mode == "late":
+            delay_s = self.random.random() * 2 * timeout_s
+            await asyncio.sleep(min(delay_s, timeout_s))
+            if delay_s > timeout_s:
+                return 0, b""
         if mode == "one way" or not response.startswith(b"HTTP/1.1 "):
             return 0, b""
         head, _, content = response.partition(b"\r\n\r\n")
@@ -427,6 +546,11 @@
             self.results.append((started_at, responses > 0))
             await asyncio.sleep(self.random.random() * 0.3)
 
+    async def use_idle_flows(self, caller):
+        """Uses flows again after they were idle for so long that their server may have left."""
+        while True:
+            await caller.flow(443, self.random.randint(2, 4), 10.0)
+
     def add_server(self, service):
         self.next_server += 1
         zone = self.next_server % len(self.zones)
@@ -508,15 +632,19 @@
                 host.write_settings(self.seeds)
                 host.signal(signal.SIGHUP)
         elif kind == "proxy":
-            self.proxy_mode = self.random.choice(["reset", "silent", "slow", "one way"])
+            self.proxy_mode = self.random.choice(["reset", "silent", "slow", "one way", "late"])
             self.record_fault(f"proxy {self.proxy_mode}")
             await asyncio.sleep(1 + self.random.random() * 3)
             self.proxy_mode = "open"
         elif kind == "loss":
-            self.loss, self.delay = self.random.random() * 0.2, self.random.random() * 0.3
-            self.record_fault(f"loss {self.loss:.2f} delay {self.delay:.2f}")
+            loss, delay = self.random.random() * 0.2, self.random.random() * 0.3
+            sides = self.random.choice([["callers"], ["servers"], ["callers", "servers"]])
+            self.record_fault(f"loss {loss:.2f} delay {delay:.2f} of {sides}")
+            if "servers" in sides:
+                self.server_links_faulted_at = time.monotonic() + 2
+            self.link_quality.update(dict.fromkeys(sides, (loss, delay)))
             await asyncio.sleep(2)
-            self.loss, self.delay = 0.0, 0.002
+            self.link_quality.update(dict.fromkeys(sides, (0.0, 0.002)))
         elif kind == "herd":
             self.record_fault("herd")
             await asyncio.gather(*[host.stop(signal.SIGKILL) for host in self.controls])
@@ -528,13 +656,25 @@
             self.add_server(server.service)
             if kind == "crash":
                 self.record_fault(f"crash {server.id}")
-                server.crash()
+                server.end()
             else:
                 self.history.append(f"drain {server.id}")
                 await asyncio.sleep(1.0)
                 await server.leave()
         self.faulted_at = time.monotonic() if "terminate" not in kind and kind not in ("drain", "hup", "other writer") else self.faulted_at
 
+    async def release_servers(self):
+        """Replaces servers in series; as planned work, this may not affect callers."""
+        while True:
+            await asyncio.sleep(0.5 + self.random.random() * 2)
+            servers = [server for server in self.servers if not server.dead and server.state == "ready"
+                       and time.time() * 1000 - server.started_ms > 5000]
+            if servers:
+                server = self.random.choice(servers)
+                self.history.append(f"{time.monotonic() - self.started_at:7.2f} s release {server.id}")
+                self.add_server(server.service)
+                server.leave_task = asyncio.create_task(server.leave())
+
     async def inject_faults(self):
         pending = set()
         end = time.monotonic() + self.seconds
@@ -563,7 +703,10 @@
         await asyncio.sleep(4)
         self.faulted_at = time.monotonic() - 60
         background += [asyncio.create_task(self.generate_load(caller)) for caller in callers for _ in range(4)]
+        background += [asyncio.create_task(self.use_idle_flows(caller)) for caller in callers for _ in range(4)]
+        releases = asyncio.create_task(self.release_servers())
         await self.inject_faults()
+        releases.cancel()
         faults_ended_at = time.monotonic()
         await asyncio.sleep(RECOVER_S + 4)
         late_results = [ok for at, ok in self.results if at > faults_ended_at + RECOVER_S]
@@ -574,6 +717,7 @@
         if not any(status == 200 and json.loads(content)["Version"] >= required_version
                    for status, content in responses):
             self.report_violation(f"version {required_version} was acknowledged and is gone")
+        await asyncio.gather(*[server.leave_task for server in self.servers if server.leave_task])
         for task in background + [server.task for server in self.servers]:
             task.cancel()
 
@@ -586,6 +730,7 @@
         served = sum(ok for _, ok in self.results)
         print(f"soak: seed {self.seed}: {len(self.violations)} violations, {served} of {len(self.results)} flows served, "
               f"{len(self.acknowledged)} configurations acknowledged, {len(self.history)} faults")
+        print(f"resets of flows that are open at their server: {self.open_flow_resets}")
         if self.violations or keep:
             print(f"faults: {'; '.join(self.history)}\nlogs: {self.folder}")
         else:
