Placement: Admit repetitions of handshakes that another balancer admitted

Callers were refused with "overloaded" by the second balancer that the repetition of a handshake packet reached, although the first one had forwarded the flow to a server.

Cause: token_router::open() kept a flow admitted only at the balancer that had forwarded it.

Change: a repetition counts as admitted, as callers repeat only what was not refused, unless this balancer has refused the flow itself. A first transmission and its repetition may wait in its socket together; without a record of refusals, the second would be forwarded for a caller that has given up.

Without the change: error: in "repeated_handshake_is_refused_only_if_its_flow_cannot_be_served/_1": check placement_fixture::resetOf(second.open(40'000, count)) == row.reset has failed Failure occurred in a following context: row = admitted by another balancer before the overload; *** 1 failure is detected in the test module "placement" Without the record of refusals, row 2 ("sent before its caller received the refusal") fails likewise.

--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -33,7 +33,7 @@
 bool flow_observer::isOutdatedHandshake(caller_packet const& packet) const
 {
     auto const flow = m_flows.find(packet.flowEndpoints);
-    if (flow == m_flows.end() || flow->second.state == phase::Opening)
+    if (flow == m_flows.end() || flow->second.state == phase::Opening || flow->second.state == phase::Refused)
         return false;
     // The handshake occupies one sequence number; wraps around for a packet that is newer than the flow's data.
     return flow->second.sentEnd - (packet.sequence + 1) <= maximumBytesSinceHandshake;
@@ -114,6 +114,18 @@
     entry->second = createFlow(token, phase::Opening, packet.sequence + 1, now);
 }
 
+void flow_observer::recordRefusal(caller_packet const& packet, monotonic_time now)
+{
+    if (m_flows.size() < m_settings.maximumObservedFlows || m_flows.contains(packet.flowEndpoints))
+        m_flows[packet.flowEndpoints] = createFlow(noToken, phase::Refused, packet.sequence + 1, now);
+}
+
+bool flow_observer::isRefused(flow_endpoints const& flowEndpoints) const
+{
+    auto const flow = m_flows.find(flowEndpoints);
+    return flow != m_flows.end() && flow->second.state == phase::Refused;
+}
+
 void flow_observer::recordRepeatedHandshake(caller_packet const& packet, monotonic_time now)
 {
     auto const flow = m_flows.find(packet.flowEndpoints);
@@ -128,6 +140,10 @@
 flow_observer::novelty flow_observer::recordPacket(caller_packet const& packet, monotonic_time now)
 {
     auto entry = m_flows.find(packet.flowEndpoints);
+    if (entry != m_flows.end() && entry->second.state == phase::Refused) {
+        m_flows.erase(entry);
+        entry = m_flows.end();
+    }
     if (entry != m_flows.end() && packet.token != noToken && packet.token != entry->second.token) {
         // The end of an earlier flow, or the rejection of a second handshake response.
         if (packet.purpose != packet_purpose::Continue)
@@ -207,7 +223,7 @@
     std::erase_if(m_flows, [&](auto const& item) {
         auto const& flow = item.second;
         auto timeout = idleTimeout;
-        if (flow.state == phase::Opening)
+        if (flow.state == phase::Opening || flow.state == phase::Refused)
             timeout = m_settings.handshakeTimeout;
         else if (flow.state == phase::Busy)
             timeout = m_settings.requestTimeout;
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -39,6 +39,12 @@
     /// @param token The server it is forwarded to.
     void recordHandshake(caller_packet const& packet, uint32_t token, monotonic_time now);
 
+    /// Records that a handshake packet of a flow without a server has been refused.
+    void recordRefusal(caller_packet const& packet, monotonic_time now);
+
+    /// @return Whether an earlier handshake packet of the flow has been refused.
+    bool isRefused(flow_endpoints const& flowEndpoints) const;
+
     /// Records a retransmitted handshake packet. Called before its server is chosen.
     void recordRepeatedHandshake(caller_packet const& packet, monotonic_time now);
 
@@ -65,6 +71,8 @@
 
 private:
     enum class phase : uint8_t {
+        /// The flow has no server.
+        Refused,
         Opening,
         Idle,
         /// A request has been sent and no byte of its response has been acknowledged.
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -117,10 +117,15 @@
     auto* backend = m_pool.find(m_observer.serverTokenOf(packet.flowEndpoints));
     if (!backend || !m_pool.mayRepeatHandshake(*backend, now)) {
         auto const& service = chooseService(route->second);
-        // A handshake that was forwarded before stays admitted.
-        if (!backend && !isAdmitted(packet, service, route->second, now))
-            return reset_flow { reset_reason::Overloaded, m_pool.overload().lowerQuartileResponseTime(service),
+        // A caller repeats a handshake packet unless it was refused, so another balancer may have forwarded the flow
+        // to a server before. But a refused flow may have repetitions that were sent before the caller was notified.
+        bool const mayRefuse = packet.retransmissionCount == 0 || m_observer.isRefused(packet.flowEndpoints);
+        if (!backend && mayRefuse && !isAdmitted(packet, service, route->second, now)) {
+            reset_flow const refusal { reset_reason::Overloaded, m_pool.overload().lowerQuartileResponseTime(service),
                 m_observer.observationOf(packet.flowEndpoints, now) };
+            m_observer.recordRefusal(packet, now);
+            return refusal;
+        }
         backend = m_pool.select(service, route->second.kind, now);
     }
     if (!backend)
--- a/Tests/Placement/test_token_router.cpp
+++ b/Tests/Placement/test_token_router.cpp
@@ -244,6 +244,7 @@
     ServiceIsOverloaded,
     RouteIsRemoved,
     ServerDrains,
+    ServerLeaves,
     ServerIsUnresponsive,
 };
 
@@ -263,6 +264,7 @@
     { "route removed", opened_through::ThisBalancer, later_event::RouteIsRemoved },
     { "server draining", opened_through::ThisBalancer, later_event::ServerDrains },
     { "server draining, opened through another balancer", opened_through::AnotherBalancer, later_event::ServerDrains },
+    { "server has left, opened through another balancer", opened_through::AnotherBalancer, later_event::ServerLeaves },
     { "server unresponsive", opened_through::ThisBalancer, later_event::ServerIsUnresponsive },
 };
 
@@ -301,6 +303,9 @@
         fixture.announce(token == placement_fixture::tokenOf(1) ? 1 : 2, "a", backend_state::Draining);
         fixture.advance(2'000);
         break;
+    case later_event::ServerLeaves:
+        fixture.announce(token == placement_fixture::tokenOf(1) ? 1 : 2, "a", backend_state::Gone);
+        break;
     case later_event::ServerIsUnresponsive:
         fixture.advance(200);
         fixture.request(40'000, token);
@@ -314,6 +319,71 @@
     BOOST_TEST(backend.load.busy == load.busy);
 }
 
+enum class first_transmission : uint8_t {
+    NotSent,
+    ForwardedByAnotherBalancer,
+    RefusedByThisBalancer,
+};
+
+struct repeated_row {
+    char const* name;
+    first_transmission first;
+    later_event event;
+    std::optional<reset_reason> reset;
+};
+std::ostream& operator<<(std::ostream& stream, repeated_row const& row) { return stream << row.name; }
+
+repeated_row const repeatedRows[] = {
+    { "new flow while overloaded", first_transmission::NotSent, later_event::ServiceIsOverloaded,
+        reset_reason::Overloaded },
+    { "admitted by another balancer before the overload", first_transmission::ForwardedByAnotherBalancer,
+        later_event::ServiceIsOverloaded, std::nullopt },
+    { "sent before its caller received the refusal", first_transmission::RefusedByThisBalancer,
+        later_event::ServiceIsOverloaded, reset_reason::Overloaded },
+    { "no longer routed", first_transmission::ForwardedByAnotherBalancer, later_event::RouteIsRemoved,
+        reset_reason::NoRoute },
+    { "no server left", first_transmission::ForwardedByAnotherBalancer, later_event::ServerLeaves,
+        reset_reason::NoServer },
+};
+
+// Guards against callers that are refused by a second balancer, to which the repetition of a handshake packet was
+// routed, although the first one has admitted the flow.
+BOOST_DATA_TEST_CASE(repeated_handshake_is_refused_only_if_its_flow_cannot_be_served, repeatedRows, row)
+{
+    placement_fixture first;
+    placement_fixture second;
+    first.announce(1);
+    second.announce(1);
+    if (row.event == later_event::ServiceIsOverloaded)
+        second.overload();
+    else if (row.event == later_event::RouteIsRemoved)
+        removeRoutes(second);
+    else
+        second.announce(1, "a", backend_state::Gone);
+    if (row.first == first_transmission::ForwardedByAnotherBalancer)
+        BOOST_CHECK(placement_fixture::targetOf(first.open(40'000)));
+    if (row.first == first_transmission::RefusedByThisBalancer)
+        BOOST_CHECK(placement_fixture::resetOf(second.open(40'000)) == reset_reason::Overloaded);
+    auto const count = row.first == first_transmission::NotSent ? 0u : 1u;
+    BOOST_CHECK(placement_fixture::resetOf(second.open(40'000, count)) == row.reset);
+}
+
+// Guards against wrong loads after a refusal that did not reach the caller before the flow was established through
+// another balancer.
+BOOST_AUTO_TEST_CASE(refused_flow_is_tracked_once_it_is_established)
+{
+    placement_fixture fixture;
+    fixture.announce(1);
+    fixture.overload();
+    BOOST_CHECK(placement_fixture::resetOf(fixture.open(40'000)) == reset_reason::Overloaded);
+    auto const token = placement_fixture::tokenOf(1);
+    fixture.request(40'000, token);
+    auto const& load = fixture.router.pool().find(token)->load;
+    BOOST_TEST(load.opening == 0u);
+    BOOST_TEST(load.open == 1u);
+    BOOST_TEST(load.busy == 1u);
+}
+
 // Guards against a new flow that is taken for a repetition of an earlier one with the same endpoints, whose end passed
 // through another balancer.
 BOOST_AUTO_TEST_CASE(new_flow_with_the_endpoints_of_an_earlier_one_is_placed)
