Membership: Return to an incarnation that a late announcement has replaced

A late announcement of an earlier incarnation replaces the record of a live server at a control host that has not heard the live one for 4 s. The live one was then ignored as one that has ended until 4 s later. An incarnation counts as ended now when its successor has been seen over 4 s, which a late announcement is not.

--- a/Libraries/Membership/backend_directory.cpp
+++ b/Libraries/Membership/backend_directory.cpp
@@ -19,6 +19,7 @@
         auto& ended = entry.endedStarts;
         // An incarnation that was taken for an ended one has returned.
         std::erase(ended, startedAtMs);
+        entry.incarnationSeenAt = entry.lastSeenAt;
         ended.push_back(entry.announcement.startedAtMs);
         if (ended.size() > maximumEndedStarts)
             ended.erase(ended.begin());
@@ -125,6 +126,11 @@
         m_claimants.erase(claimants);
 }
 
+bool backend_directory::isReplaced(backend_entry const& known, int64_t startedAtMs) const
+{
+    return hasEnded(known, startedAtMs) && known.lastSeenAt - known.incarnationSeenAt >= m_settings.announcementTimeout;
+}
+
 bool backend_directory::isOutdated(
     backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const
 {
@@ -136,11 +142,10 @@
     bool const hasLeft = stored.state == backend_state::Gone;
     if (announcement.startedAtMs == stored.startedAtMs)
         return hasLeft || (announcement.sequence < stored.sequence && !hadTimedOut);
-    bool const isOfEnded = hasEnded(known, announcement.startedAtMs);
-    if (announcement.startedAtMs > stored.startedAtMs && !isOfEnded)
+    if (announcement.startedAtMs > stored.startedAtMs && !isReplaced(known, announcement.startedAtMs))
         return false;
     // A server that has left may start again after its wall clock has stepped back.
-    bool const mayHaveEnded = isOfEnded || announcement.startedAtMs == 0;
+    bool const mayHaveEnded = hasEnded(known, announcement.startedAtMs) || announcement.startedAtMs == 0;
     return (hasLeft && mayHaveEnded) || !hadTimedOut;
 }
 
@@ -208,8 +213,10 @@
     // A leave without a start time may be that of any incarnation, so one that the server has outlived is not its own.
     if (announcement.startedAtMs == 0)
         return hasLeft || known.lastSeenAt - receivedAt >= m_settings.announcementTimeout;
-    if (announcement.startedAtMs < stored.startedAtMs || hasEnded(known, announcement.startedAtMs))
+    if (announcement.startedAtMs < stored.startedAtMs)
         return true;
+    if (hasEnded(known, announcement.startedAtMs))
+        return isReplaced(known, announcement.startedAtMs);
     // If the server announces itself, the later start time is that of an earlier incarnation whose clock was ahead.
     return !hasLeft && !hasTimedOut(known, receivedAt);
 }
--- a/Libraries/Membership/backend_directory.h
+++ b/Libraries/Membership/backend_directory.h
@@ -48,6 +48,8 @@
     std::string displacedBy {};
     /// Start times of earlier incarnations that a later announcement has replaced, the latest last.
     std::vector<int64_t> endedStarts {};
+    /// When the present incarnation was first seen; only meaningful if it has replaced another one.
+    monotonic_time incarnationSeenAt {};
 
     /// @return The announced state; Gone if another server has taken over the address.
     backend_state state() const { return displacedBy.empty() ? announcement.state : backend_state::Gone; }
@@ -107,6 +109,9 @@
     {
         return receivedAt - known.lastSeenAt >= m_settings.announcementTimeout;
     }
+    /// @return Whether another incarnation has replaced this one, and was seen for longer than late announcements of a
+    ///     still earlier one arrive.
+    bool isReplaced(backend_entry const& known, int64_t startedAtMs) const;
     bool isOutdated(
         backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const;
     /// @return Whether the announcement would move a live server of a configured service to another address, although
