Fleet: Renew no server that has left

Cause: a control host does not report a server as late that has left, and its lease renewed that server at every balancer like all others. So each server that had left counted as seen a moment ago, for as long as its control host ran. Of two servers at one address, the one that was seen 4 s later has the address, also if it has left. So once a balancer did not see a live server at a reused address for 4 s, its departed predecessor took the address back, and the balancer reset the flows of the live one. Besides, such servers were never removed, so the directory of a balancer grew until its control hosts restarted.

Change: a server that has left has no lease, and does not supersede another one only because it was seen later.

--- a/Libraries/Membership/backend_directory.cpp
+++ b/Libraries/Membership/backend_directory.cpp
@@ -67,11 +67,11 @@
         return false;
     // Wall clocks can step back, so the start times matter only while both were seen at about the same time.
     auto const lead = candidate.lastSeenAt - other.lastSeenAt;
-    if (lead >= m_settings.announcementTimeout)
+    bool const hasLeft = candidate.announcement.state == backend_state::Gone;
+    if (lead >= m_settings.announcementTimeout && !hasLeft)
         return true;
     if (lead <= -m_settings.announcementTimeout)
         return false;
-    bool const hasLeft = candidate.announcement.state == backend_state::Gone;
     if (hasLeft && other.announcement.state != backend_state::Gone && lead <= duration::zero())
         return false;
     return !isConfigured(other.announcement) || candidate.announcement.startedAtMs > other.announcement.startedAtMs;
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -71,6 +71,9 @@
         server.isLate = record.isLate;
         server.lastSeenAt = record.lastSeenAt;
     }
+    // A control host does not report a server as late that has left, so its lease says nothing about that server.
+    if (announcement.state == backend_state::Gone)
+        server.announcer = nullptr;
     bool const hasChanged = effect == announcement_effect::Added || effect == announcement_effect::Changed;
     if (hasChanged)
         result.changed.push_back(announcement.id);
--- a/Tests/Fleet/test_directory_view.cpp
+++ b/Tests/Fleet/test_directory_view.cpp
@@ -117,4 +117,32 @@
     BOOST_CHECK(view.directory().find(earlier.id)->state() == backend_state::Gone);
 }
 
+// Guards against a server that has left and counts as alive while the control host that received its leave renews its
+// lease: it takes its address back when the server that has the address now is not seen for 4 s, whose open flows are
+// reset, and it is never removed.
+BOOST_FIXTURE_TEST_CASE(lease_renews_no_server_that_has_left, directory_fixture)
+{
+    auto earlier = announcementOf(1, 1);
+    auto present = announcementOf(2, 1);
+    present.address = earlier.address;
+    present.service = earlier.service;
+    present.startedAtMs = earlier.startedAtMs + 3'000;
+    directory_feed first({}, 5);
+    directory_feed second({}, 6);
+    directory_view view;
+    view.setServices({ earlier.service }, at(0));
+    first.announce(earlier, at(0));
+    view.apply(controlHost(1), *first.drainChanges(at(0)), at(0));
+    earlier.state = backend_state::Gone;
+    first.announce(earlier, at(500));
+    view.apply(controlHost(1), *first.drainChanges(at(500)), at(500));
+    second.announce(present, at(3'000));
+    view.apply(controlHost(2), *second.drainChanges(at(3'000)), at(3'000));
+    view.apply(controlHost(1), first.lease(), at(8'000));
+    view.reevaluate(at(8'000));
+    BOOST_CHECK(view.directory().find(present.id)->state() == backend_state::Ready);
+    view.apply(controlHost(1), first.lease(), at(121'000));
+    BOOST_TEST((view.expire(at(121'000)) == std::vector<std::string> { earlier.id }));
+}
+
 } // namespace
--- a/Tests/Membership/test_backend_directory.cpp
+++ b/Tests/Membership/test_backend_directory.cpp
@@ -252,6 +252,19 @@
     BOOST_CHECK(directory.find("i-1")->state() == gone);
 }
 
+// Guards against a server that has left and takes the address back from its successor, which no announcement of its own
+// supports.
+BOOST_AUTO_TEST_CASE(server_that_has_left_takes_no_address_by_the_time_it_was_seen)
+{
+    auto directory = configuredDirectory();
+    directory.apply(announcementOf("i-1", 80, 100, 1, ready), at(0), at(0));
+    directory.apply(announcementOf("i-1", 80, 100, 1, gone), at(0), at(0));
+    directory.apply(announcementOf("i-2", 80, 200, 1, ready), at(1'000), at(1'000));
+    directory.setLastSeen("i-1", at(5'000));
+    directory.reevaluateAddresses();
+    BOOST_CHECK(directory.find("i-2")->state() == ready);
+}
+
 struct identifier_row {
     char const* name;
     backend_announcement first;
