Fleet: Apply the lease of a control host with an outdated record

Cause: a control host renews a server whose record its peers have by its token and a digest of the record. If the receiver has another record, it requests the whole directory, and applies no lease until it has it. But if the receiver's record is the later one, the whole directory contains the older one, which is ignored, and the digest still differs. So the balancer requested the directory with each lease, and applied none, as long as the control host sent that token: until it reported the server as late, or, for a server that has left and of which one side has only the leave, for the 120 s of the retention. All other servers of that control host lost their lease meanwhile. Only directories that are sent in one update, of up to 80 servers, are concerned; in pages no digest is compared.

Change: a record that the update itself contains is not missing; a control host renews no server that has left.

--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -134,7 +134,8 @@
         auto const state = known == m_states.end() ? server_state {} : known->second;
         if (entry.revision > revision && entry.revision != state.knownElsewhereRevision)
             update.records.push_back({ entry.announcement, now - entry.lastSeenAt });
-        if (state.livenessRevision <= revision || state.isReleased)
+        // Nothing renews a server that has left.
+        if (state.livenessRevision <= revision || state.isReleased || entry.announcement.state == backend_state::Gone)
             continue;
         if (state.isLate) {
             update.late.push_back({ flowToken(id), now - entry.lastSeenAt });
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -110,6 +110,16 @@
     return update.renewedDigests.empty() || (entry && update.renewedDigests[index] == digestOf(entry->announcement));
 }
 
+bool directory_view::containsRenewed(directory_update const& update, size_t index)
+{
+    if (update.renewedDigests.empty())
+        return false;
+    return std::any_of(update.records.begin(), update.records.end(), [&](auto const& record) {
+        return flowToken(record.announcement.id) == update.renewed[index]
+            && digestOf(record.announcement) == update.renewedDigests[index];
+    });
+}
+
 void directory_view::applyRenewals(
     directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result)
 {
@@ -120,7 +130,7 @@
         auto const server = m_servers.find(token);
         if (server == m_servers.end() || !isRenewalOf(update, index, server->second.id)) {
             // The sender sends no record since its peers have one. Only a full copy of its directory has it too.
-            if (announcer) {
+            if (announcer && !containsRenewed(update, index)) {
                 result.isComplete = completeness::UnknownServer;
                 feed.received = {};
             }
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -110,6 +110,9 @@
     void applyRenewals(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
     /// @return Whether the sender renews the record that this host has. A restored record may be older.
     bool isRenewalOf(directory_update const& update, size_t index, std::string const& id) const;
+    /// @return Whether the update contains the record that the sender renews. If this host has another one after it has
+    ///     applied the update, it is a later one, and the sender has nothing that is missing here.
+    static bool containsRenewed(directory_update const& update, size_t index);
     void applyLateServers(directory_update const& update, announcer_feed& feed, monotonic_time now, changes& result);
     /// Updates the directory's own time of a server, so that its timeouts count from the latest lease.
     void refresh(std::string const& id);
--- a/Tests/Fleet/test_directory_view.cpp
+++ b/Tests/Fleet/test_directory_view.cpp
@@ -145,4 +145,42 @@
     BOOST_TEST((view.expire(at(121'000)) == std::vector<std::string> { earlier.id }));
 }
 
+// Guards against a control host whose lease is never applied, so that all its servers count as silent, because it has
+// one record that is older than that of another control host.
+BOOST_FIXTURE_TEST_CASE(outdated_record_ends_no_lease_of_its_control_host, directory_fixture)
+{
+    directory_feed first({}, 5);
+    directory_feed second({}, 6);
+    directory_view view;
+    first.announce(announcementOf(2, 1), at(0));
+    view.apply(controlHost(1), *first.drainChanges(at(0)), at(0));
+    second.announce(announcementOf(1, 8, backend_state::Draining), at(1'000));
+    view.apply(controlHost(2), *second.drainChanges(at(1'000)), at(1'000));
+    // A delayed announcement of the server reaches the first control host, which has not received the change.
+    first.recordElsewhere(announcementOf(1, 1));
+    first.announce(announcementOf(1, 5), at(1'100));
+    auto const changes = view.apply(controlHost(1), *first.drainChanges(at(1'100)), at(1'100));
+    BOOST_CHECK(changes.isComplete == directory_view::completeness::UnknownServer);
+    auto const missing = first.updateSince(0, 0, at(1'200));
+    BOOST_CHECK(view.apply(controlHost(1), *missing, at(1'200)).isComplete == directory_view::completeness::Complete);
+    BOOST_CHECK(
+        view.apply(controlHost(1), first.lease(), at(1'600)).isComplete == directory_view::completeness::Complete);
+    BOOST_CHECK(view.livenessOf(idOf(2)).latest() == at(1'600));
+    BOOST_CHECK(view.directory().find(idOf(1))->state() == backend_state::Draining);
+}
+
+// Guards against the same fault by the token of a server that has left, of which receivers have a record without an
+// address because they received the leave only.
+BOOST_FIXTURE_TEST_CASE(server_that_has_left_is_not_renewed, directory_fixture)
+{
+    directory_feed feed({}, 5);
+    feed.recordElsewhere(announcementOf(1, 1));
+    feed.announce(announcementOf(1, 5), at(0));
+    feed.drainChanges(at(0));
+    feed.announce(announcementOf(1, 6, backend_state::Gone), at(500));
+    auto const update = feed.updateSince(0, 0, at(600));
+    BOOST_TEST(update->records.size() == 1u);
+    BOOST_TEST(update->renewed.empty());
+}
+
 } // namespace
