Placement: Refuse callers for lack of a server only with a full directory

Cause: token_router::open() could not tell an unknown service from one without servers.

Evidence: a test only.

Change: until the directory is complete, such a packet is dropped with the reason no_directory, and its caller repeats it. A reset at once stays the answer of a balancer that knows all servers, also to repetitions.

Result: without the change, error: in "handshake_is_not_refused_for_lack_of_a_directory/_0": check placement_fixture::resetOf(decision) == row.reset has failed Failure occurred in a following context: row = service without known servers; error: in "handshake_is_not_refused_for_lack_of_a_directory/_0": check placement_fixture::discardOf(decision) == row.discard has failed Failure occurred in a following context: row = service without known servers; *** 2 failures are detected in the test module "placement" With it, all 77 cases of test_placement and all 83 of test_fleet pass (test_fleet on its third start; the first two met a port in use by another run of it on the same machine).

--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -47,6 +47,11 @@
     Announcer,
     /// Any other one. The server may have announced itself elsewhere since.
     OtherHost,
+/// Whether a service without servers in the directory really has none.
+enum class directory_coverage : uint8_t {
+    /// The servers of all control hosts have not been received yet.
+    Partial,
+    Complete,
 };
 
 /// The backend servers that a balancer knows, and the choice of a server for each new flow.
@@ -67,6 +72,8 @@
     /// @param id Identifier of a server that the directory has removed.
     void remove(std::string const& id);
     void setDirectoryHealth(directory_health health) { m_health = health; }
+    void setDirectoryCoverage(directory_coverage coverage) { m_coverage = coverage; }
+    directory_coverage coverage() const { return m_coverage; }
 
     /// @return The server, or null for an unknown token. The pointer is valid until the server is removed.
     pooled_backend* find(uint32_t token);
@@ -143,6 +150,7 @@
     uint64_t m_seed;
     uint64_t m_drawCount = 0;
     directory_health m_health = directory_health::Stale;
+    directory_coverage m_coverage = directory_coverage::Partial;
     std::unordered_map<uint32_t, pooled_backend> m_backends;
     std::map<std::string, std::vector<uint32_t>> m_services;
     /// Smoothed response time over all servers, by service.
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -40,6 +40,8 @@
         return "no_token";
     case discard_reason::NoConfiguration:
         return "no_configuration";
+    case discard_reason::NoDirectory:
+        return "no_directory";
     }
     return "unknown";
 }
@@ -128,6 +130,8 @@
         }
         backend = m_pool.select(service, route->second.kind, now);
     }
+    if (!backend && m_pool.coverage() == directory_coverage::Partial)
+        return discard_packet { discard_reason::NoDirectory };
     if (!backend)
         return reset(packet, reset_reason::NoServer, now);
     m_observer.recordHandshake(packet, backend->token, now);
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -30,6 +30,8 @@
     NoToken,
     /// There is no configuration yet.
     NoConfiguration,
+    /// No server of the service is known, but the directory is not complete yet.
+    NoDirectory,
 };
 
 /// @return A stable name for logs and metrics.
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -372,6 +372,7 @@
     }
     if (m_hasDirectory || m_fetch.isComplete())
         m_directory.setRecovery(directory_subscription::recovery::Enabled);
+    m_router.pool().setDirectoryCoverage(m_hasDirectory ? directory_coverage::Complete : directory_coverage::Partial);
     m_router.pool().setDirectoryHealth(isComplete ? directory_health::Current : directory_health::Stale);
 }
 
--- a/Tests/Placement/placement_fixture.h
+++ b/Tests/Placement/placement_fixture.h
@@ -31,6 +31,7 @@
         add(downloadPort, request_kind::Download, 1);
         router.setRoutes(std::make_shared<route_table const>(table));
         router.pool().setDirectoryHealth(directory_health::Current);
+        router.pool().setDirectoryCoverage(directory_coverage::Complete);
     }
 
     static ip_endpoint serviceAddress(uint16_t port) { return { ip_address::fromIpv4(0xc6120001), port }; }
--- a/Tests/Placement/test_token_router.cpp
+++ b/Tests/Placement/test_token_router.cpp
@@ -219,6 +219,35 @@
     BOOST_CHECK(placement_fixture::resetOf(fixture.open(40'000, 0, row.port)) == row.reset);
 }
 
+struct partial_row {
+    char const* name;
+    uint16_t port;
+    std::optional<reset_reason> reset;
+    std::optional<discard_reason> discard;
+};
+std::ostream& operator<<(std::ostream& stream, partial_row const& row) { return stream << row.name; }
+
+partial_row const partialRows[] = {
+    { "service without known servers", placement_fixture::downloadPort, std::nullopt, discard_reason::NoDirectory },
+    { "service with a known server", placement_fixture::idempotentPort, std::nullopt, std::nullopt },
+    { "address without a route", 1, reset_reason::NoRoute, std::nullopt },
+};
+
+// Guards against a balancer that has just started and refuses callers because it does not know the servers yet.
+BOOST_DATA_TEST_CASE(handshake_is_not_refused_for_lack_of_a_directory, partialRows, row)
+{
+    placement_fixture fixture;
+    fixture.router.pool().setDirectoryCoverage(directory_coverage::Partial);
+    fixture.announce(1);
+    auto const decision = fixture.open(40'000, 0, row.port);
+    BOOST_CHECK(placement_fixture::resetOf(decision) == row.reset);
+    BOOST_CHECK(placement_fixture::discardOf(decision) == row.discard);
+    // The caller repeats the packet until the directory is complete.
+    fixture.router.pool().setDirectoryCoverage(directory_coverage::Complete);
+    fixture.announce(2, "a", backend_state::Ready, "gallery");
+    BOOST_CHECK(placement_fixture::resetOf(fixture.open(40'000, 1, row.port)) == row.reset);
+}
+
 // Guards against a retransmitted handshake packet that is forwarded to a second server.
 BOOST_AUTO_TEST_CASE(repeated_handshake_goes_to_the_same_server)
 {
