Placement: Reset flows of an unresponsive server only when it is overdue

Callers had open flows reset as server_silent while their server was running. Three repeated packets and 300 ms without a response counted as a crash unless the server had announced itself since the silence began. Servers announce themselves every 770 to 1200 ms, so that said nothing before the next announcement was due. Without a fresh lease, silence alone decided.

A server is now presumed dead only if it is overdue as well: - the control host that it announces itself to reports, after the silence began, an age of more than 1.2 announcement intervals, or reported it late; - or its control host no longer renews its lease, or is unknown, no other one has received an announcement for 2.75 intervals, and some control host has been up long enough to have received one. In that time a running server finds another control host: one failed call of up to a second and the next announcement. A balancer that has just started first listens for as long, since restored records and pages may be outdated. A stale directory resets no flow.

Flows of a running server can still be reset in these cases: - The server and its control host are beyond a partition, also if this balancer hears only a minority of the control hosts. Its packets do not arrive, so the caller should retry at a server that can be reached. Requiring a majority would leave callers of the smaller part waiting. - The server answers no caller of this balancer, and its announcements are late or lost too: it is suspended or extremely slow, or cut off on both paths. - The balancer has lost the record of a move to another control host, and the former one reports the age. The next lease shows the gap within 400 ms. Only requests that may be repeated are concerned.

Callers of a crashed server wait longer: until 1.2 intervals after its last announcement, that is 0.2 to 1.2 intervals after the crash, and for the next repeated packet.

--- a/Libraries/Membership/server_liveness.h
+++ b/Libraries/Membership/server_liveness.h
@@ -20,6 +20,8 @@
     /// Lease of the control host that the server announces itself to; null if that host has reported the server as
     /// late, or does not send leases.
     std::shared_ptr<announcer_lease const> lease;
+    /// Whether that control host has reported the server as late.
+    bool isLate = false;
 
     monotonic_time latest() const { return lease ? std::max(lastSeenAt, lease->renewedAt) : lastSeenAt; }
     bool operator==(server_liveness const&) const = default;
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -39,6 +39,8 @@
     if (isNew || serviceChanged)
         m_services[entry.announcement.service].push_back(token);
     auto const previousState = isNew ? backend_state::Ready : backend.entry.state();
+    if (isNew)
+        backend.knownSince = now;
     backend.token = token;
     backend.entry = entry;
     recordState(backend, previousState, now);
@@ -88,11 +90,21 @@
         backend->announcementCheckedAt = now;
 }
 
-bool backend_pool::awaitsAnnouncementCheck(pooled_backend const& backend, monotonic_time now) const
+bool backend_pool::isOverdue(pooled_backend const& backend, monotonic_time now) const
 {
+    auto const intervals = [&](duration time) { return seconds(time) / seconds(m_settings.announcementInterval); };
+    bool const isChecked = backend.announcementCheckedAt > backend.load.withoutResponseSince;
+    if (isChecked && intervals(backend.announcementCheckedAt - backend.announcedAt) > m_settings.overdueIntervals)
+        return true;
+    // A balancer that has just started may have an outdated record from a control host that has just started as well.
+    auto const missingFor
+        = intervals(now - std::max({ backend.liveness.latest(), backend.announcedAt, backend.knownSince }));
+    if (backend.liveness.isLate)
+        return missingFor > m_settings.overdueIntervals;
     auto const& lease = backend.liveness.lease;
-    return lease && now - lease->renewedAt <= m_settings.leaseTimeout
-        && backend.announcementCheckedAt <= backend.load.withoutResponseSince;
+    if (lease && now - lease->renewedAt <= m_settings.leaseTimeout)
+        return false;
+    return m_health == directory_health::Current && missingFor > m_settings.unresponsiveIntervals;
 }
 
 void backend_pool::remove(std::string const& id)
@@ -292,9 +304,8 @@
 bool backend_pool::isPresumedDead(pooled_backend const& backend, monotonic_time now) const
 {
     auto const& load = backend.load;
-    // If a control host has seen the server since then, it is up and its responses may be in transit.
-    if (load.retransmissionsSinceResponse < m_settings.presumedDeadRetransmissions
-        || backend.announcedAt > load.withoutResponseSince || awaitsAnnouncementCheck(backend, now))
+    // Silence alone does not tell a crashed server from a slow one or from a path that loses packets.
+    if (load.retransmissionsSinceResponse < m_settings.presumedDeadRetransmissions || !isOverdue(backend, now))
         return false;
     auto const mean = m_meanResponseSeconds.find(backend.entry.announcement.service);
     auto const responses
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -24,6 +24,8 @@
     monotonic_time announcedAt;
     /// When the control host that the server announces itself to last reported that time on request.
     monotonic_time announcementCheckedAt;
+    /// When this balancer received the server's first record. Earlier announcements may have been missed.
+    monotonic_time knownSince;
     /// When the server was last listed by drainSuspects().
     monotonic_time suspectedAt;
     monotonic_time warmUpEndsAt;
@@ -47,6 +49,8 @@
     Announcer,
     /// Any other one. The server may have announced itself elsewhere since.
     OtherHost,
+};
+
 /// Whether a service without servers in the directory really has none.
 enum class directory_coverage : uint8_t {
     /// The servers of all control hosts have not been received yet.
@@ -90,8 +94,8 @@
     void recordAcknowledgement(pooled_backend& backend, monotonic_time now);
     /// @param time From a request to the first byte of its response.
     void recordResponseTime(pooled_backend& backend, duration time, monotonic_time now);
-    /// @return Whether the server has not responded to any caller for so long that flows with idempotent requests
-    ///     should be reset, so that callers retry at another server.
+    /// @return Whether the server has neither responded to any caller nor announced itself for so long that flows with
+    ///     idempotent requests should be reset, so that callers retry at another server.
     bool isPresumedDead(pooled_backend const& backend, monotonic_time now) const;
     /// @return Whether the server has left and no longer responds. Leaving alone is no evidence that its flows have
     ///     ended: the server serves them until it has received the acknowledgement of its leave.
@@ -139,9 +143,10 @@
     double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
     double idleFlowWeight(std::string const& service);
     double slowness(pooled_backend const& backend, monotonic_time now) const;
-    /// @return Whether a control host confirms the server with a lease, and has not reported yet whether the server has
-    ///     announced itself since it stopped responding.
-    bool awaitsAnnouncementCheck(pooled_backend const& backend, monotonic_time now) const;
+    /// @return Whether an announcement of the server is missing at the control hosts that this balancer hears. Servers
+    ///     announce themselves at intervals, so the last announcement of a running server may be older than the silence
+    ///     towards its callers.
+    bool isOverdue(pooled_backend const& backend, monotonic_time now) const;
     bool mayEject(pooled_backend const& candidate, monotonic_time now) const;
 
     placement_settings m_settings;
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -32,18 +32,22 @@
     duration handshakeTimeout = std::chrono::milliseconds(1'400);
     /// A repeated handshake is moved to another server when its server has not responded to any caller for longer.
     duration responseGap = std::chrono::milliseconds(150);
-    /// Retransmissions without any response to any caller in between after which a server is presumed dead. Its open
-    /// flows with idempotent requests are then reset, so that callers retry at another server.
+    /// Retransmissions without any response to any caller in between after which a server is presumed dead if it has
+    /// also stopped announcing itself. Its open flows with idempotent requests are then reset, so that callers retry at
+    /// another server.
     uint32_t presumedDeadRetransmissions = 3;
     /// Minimum time without any response before a server is presumed dead.
     duration presumedDeadTimeout = std::chrono::milliseconds(300);
     /// The same in mean response times of the service; the longer time applies. A server that is slow or has a queue
     /// still responds to some callers within this time.
     double presumedDeadResponseTimes = 8;
-    /// Minimum time between two queries for the exact time of a server's last announcement. The result must arrive
-    /// within presumedDeadTimeout.
+    /// Announcement intervals without an announcement at the control host that the server announces itself to, after
+    /// which the server is overdue. It is the age at which control hosts report servers as late.
+    double overdueIntervals = 1.2;
+    /// Minimum time between two queries for the exact time of a server's last announcement.
     duration announcementQueryInterval = std::chrono::milliseconds(100);
-    /// A control host whose lease is older is not expected to respond to such a query.
+    /// A control host whose lease is older is not expected to respond to such a query. Its servers are overdue after
+    /// unresponsiveIntervals, in which they announce themselves to another control host.
     duration leaseTimeout = std::chrono::milliseconds(1'500);
     /// Callers retransmit a packet after 200 ms at the earliest. A retransmission that arrives sooner after the first
     /// transmission was delayed together with it, on the way to the balancer or in its socket, and says nothing about
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -90,7 +90,7 @@
         bool isLate = false;
         monotonic_time lastSeenAt;
 
-        server_liveness liveness() const { return { lastSeenAt, isLate ? nullptr : announcer }; }
+        server_liveness liveness() const { return { lastSeenAt, isLate ? nullptr : announcer, isLate }; }
     };
 
     /// A record as it was received.
--- a/Tests/Placement/placement_fixture.h
+++ b/Tests/Placement/placement_fixture.h
@@ -39,8 +39,9 @@
     static uint32_t tokenOf(int number) { return flowToken(nameOf(number)); }
 
     /// Applies an announcement of a server to the directory and to the router.
+    /// @param ageMs Time since a control host received the announcement.
     void announce(int number, std::string const& zone = "a", backend_state state = backend_state::Ready,
-        std::string const& service = "orders")
+        std::string const& service = "orders", int ageMs = 0)
     {
         backend_announcement announcement;
         announcement.id = nameOf(number);
@@ -52,7 +53,7 @@
         announcement.state = state;
         announcement.startedAtMs = 100;
         announcement.sequence = ++m_sequence;
-        directory.apply(announcement, now, now);
+        directory.apply(announcement, now - std::chrono::milliseconds(ageMs), now);
         router.pool().update(*directory.find(announcement.id), now);
     }
 
