Fleet: Report no ages of servers after a suspension of a control host

Before a balancer resets flows of a server that responds to no caller, it asks for the age of the last announcement. A control host that resumes after a suspension may answer before it has read the announcements that arrived meanwhile, so a running server seemed overdue by the length of the suspension. Late reports already wait for two announcement intervals after a gap, and ages now do as well. Balancers then wait for a report, or decide as for a control host whose lease has expired.

Without the fix: resumed_control_host_reports_no_age/_0, _2: feed.agesOf(...).empty() == !row.isReported has failed [false != true] resumed_control_host_reports_ages_again_after_two_intervals: feed.agesOf({ tokenOf(1) }, at(8500)).empty() has failed

--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -213,6 +213,9 @@
 {
     std::lock_guard const lock(m_mutex);
     std::vector<server_age> result;
+    // Announcements that arrived during a suspension may not have been read yet.
+    if (now - m_lateCheckedAt > maximumCheckGap || now < m_lateCheckResumesAt)
+        return result;
     for (auto const token : tokens) {
         auto const id = m_idsByToken.find(token);
         auto const* const entry = id == m_idsByToken.end() ? nullptr : m_directory.find(id->second);
--- a/Tests/Fleet/test_directory_leases.cpp
+++ b/Tests/Fleet/test_directory_leases.cpp
@@ -146,6 +146,41 @@
     BOOST_CHECK(lastSeen(2) == at(0));
 }
 
+struct age_request_row {
+    char const* name;
+    /// When the last regular check and the request were handled, in milliseconds.
+    int checkedUntil;
+    int requestedAt;
+    bool isReported;
+};
+std::ostream& operator<<(std::ostream& stream, age_request_row const& row) { return stream << row.name; }
+
+age_request_row const ageRequestRows[] = {
+    { "after a start", 1'200, 1'300, false },
+    { "while it runs", 4'000, 4'100, true },
+    { "before the first check after a suspension", 4'000, 8'000, false },
+};
+
+// Guards against resets of flows because a control host that resumes after a suspension reports the age of a server
+// before it has read the announcements that arrived meanwhile.
+BOOST_DATA_TEST_CASE_F(lease_fixture, resumed_control_host_reports_no_age, ageRequestRows, row)
+{
+    announceUntil(feed, 1, 3'600);
+    checkLate(feed, 0, row.checkedUntil);
+    BOOST_TEST(feed.agesOf({ tokenOf(1) }, at(row.requestedAt)).empty() == !row.isReported);
+}
+
+// The same after the first check, until each server had time to announce itself.
+BOOST_FIXTURE_TEST_CASE(resumed_control_host_reports_ages_again_after_two_intervals, lease_fixture)
+{
+    announceUntil(feed, 1, 3'600);
+    checkLate(feed, 0, 4'000);
+    checkLate(feed, 8'000, 8'400);
+    BOOST_TEST(feed.agesOf({ tokenOf(1) }, at(8'500)).empty());
+    checkLate(feed, 8'800, 11'200);
+    BOOST_TEST(feed.agesOf({ tokenOf(1) }, at(11'300)).size() == 1u);
+}
+
 struct pause_row {
     char const* name;
     int seconds;
