Placement: Allow for delays between the repetitions of a waiting caller

A single caller of a crashed server could wait until its own deadline: callers repeat a packet every 1.6 s at last, and the count of packets without a response began anew after 1.6 s. The limit is 2 s now.

--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -53,9 +53,10 @@
     /// transmission was delayed together with it, on the way to the balancer or in its socket, and says nothing about
     /// the server.
     duration minimumRetransmissionDelay = std::chrono::milliseconds(150);
-    /// A caller that waits for a response retransmits at least this often. After a longer time without any
-    /// retransmission, the earlier ones belong to an outage that has ended and say nothing about the server.
-    duration maximumRetransmissionInterval = std::chrono::milliseconds(1'600);
+    /// A caller that waits for a response retransmits every 1.6 s at least; the rest is for the time on the way. After
+    /// a longer time without any retransmission, the earlier ones belong to an outage that has ended and say nothing
+    /// about the server.
+    duration maximumRetransmissionInterval = std::chrono::milliseconds(2'000);
     /// Retransmissions without any response after which a server is ejected. A single one may be a lost packet.
     uint32_t ejectionRetransmissions = 2;
     duration initialEjectionDuration = std::chrono::milliseconds(1'000);
