Placement: Count only packets that were sent after their server had left

A late FIN of an earlier flow of a port reset the present flow of that port, and a late acknowledgement moved its handshake to the earlier server.

A packet counts now if it was forwarded after the balancer had received the leave, carries data, and was repeated without a response since. One such packet resets its own flow, two the other flows. A reset is sent only if the endpoints do not belong to a later flow, and a packet whose sequence number is unrelated to a handshake in progress does not replace it. A reset line shows -1 for the times of a flow that is not tracked.

--- a/Libraries/Placement/backend_load.h
+++ b/Libraries/Placement/backend_load.h
@@ -27,8 +27,9 @@
     monotonic_time lastRetransmissionAt;
     /// When the first transmission of the earliest of those packets arrived.
     monotonic_time withoutResponseSince;
-    /// Whether the server, which has left, did not respond to a packet that a caller repeated after that.
-    bool hasStopped = false;
+    /// Packets that were forwarded to the server after it had left, and that callers have repeated since without any
+    /// response in between.
+    uint32_t unansweredSinceLeave = 0;
     monotonic_time ejectedUntil;
     /// Consecutive ejections without a response in between.
     uint32_t ejections = 0;
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -17,6 +17,13 @@
 
     double seconds(duration value) { return std::chrono::duration<double>(value).count(); }
 
+    // Called when a server was not Gone before, or another incarnation of it was.
+    void resetDepartureEvidence(pooled_backend& backend, monotonic_time now)
+    {
+        backend.goneSince = now;
+        backend.load.unansweredSinceLeave = 0;
+    }
+
 } // namespace
 
 backend_pool::backend_pool(placement_settings const& settings, std::string zone, uint64_t seed)
@@ -38,12 +45,13 @@
         std::erase(m_services[backend.entry.announcement.service], token);
     if (isNew || serviceChanged)
         m_services[entry.announcement.service].push_back(token);
-    auto const previousState = isNew ? backend_state::Ready : backend.entry.state();
+    bool const wasGone = !isNew && !restarted && backend.entry.state() == backend_state::Gone;
     if (isNew)
         backend.knownSince = now;
     backend.token = token;
     backend.entry = entry;
-    recordState(backend, previousState, now);
+    if (!wasGone)
+        resetDepartureEvidence(backend, now);
     backend.liveness = { entry.lastSeenAt, nullptr };
     backend.announcedAt = std::max(backend.announcedAt, entry.lastSeenAt);
     backend.warmUpEndsAt = now + entry.announcement.remainingWarmUp;
@@ -54,21 +62,15 @@
     }
 }
 
-void backend_pool::recordState(pooled_backend& backend, backend_state previous, monotonic_time now)
-{
-    if (backend.entry.state() != backend_state::Gone)
-        backend.load.hasStopped = false;
-    else if (previous != backend_state::Gone)
-        backend.goneSince = now;
-}
-
 void backend_pool::setDisplacement(std::string const& id, std::string const& displacedBy, monotonic_time now)
 {
-    if (auto* const backend = find(flowToken(id))) {
-        auto const previousState = backend->entry.state();
-        backend->entry.displacedBy = displacedBy;
-        recordState(*backend, previousState, now);
-    }
+    auto* const backend = find(flowToken(id));
+    if (!backend)
+        return;
+    bool const wasGone = backend->entry.state() == backend_state::Gone;
+    backend->entry.displacedBy = displacedBy;
+    if (!wasGone)
+        resetDepartureEvidence(*backend, now);
 }
 
 void backend_pool::setLiveness(uint32_t token, server_liveness const& liveness)
@@ -233,7 +235,7 @@
 void backend_pool::recordAcknowledgement(pooled_backend& backend, monotonic_time now)
 {
     backend.load.lastResponseAt = now;
-    backend.load.hasStopped = false;
+    backend.load.unansweredSinceLeave = 0;
     backend.load.retransmissionsSinceResponse = 0;
     backend.load.ejections = 0;
     backend.load.ejectedUntil = {};
@@ -280,10 +282,6 @@
     backend.load.lastRetransmissionAt = now;
     if (backend.load.retransmissionsSinceResponse++ == 0)
         backend.load.withoutResponseSince = since;
-    // A response that the server sent before it left may still be in transit.
-    if (backend.entry.state() == backend_state::Gone
-        && now - backend.goneSince >= m_settings.minimumRetransmissionDelay)
-        backend.load.hasStopped = true;
     if (now - backend.suspectedAt >= m_settings.announcementQueryInterval) {
         backend.suspectedAt = now;
         m_suspects.push_back(backend.token);
@@ -301,6 +299,22 @@
     m_newEjections.emplace_back(backend.entry.announcement.id, time.count());
 }
 
+void backend_pool::recordUnansweredData(pooled_backend& backend, monotonic_time sentAt)
+{
+    if (backend.entry.state() == backend_state::Gone && sentAt >= backend.goneSince
+        && backend.load.lastResponseAt <= sentAt)
+        ++backend.load.unansweredSinceLeave;
+}
+
+bool backend_pool::hasStopped(pooled_backend const& backend, packet_novelty packet) const
+{
+    if (backend.entry.state() != backend_state::Gone)
+        return false;
+    // A single packet may have been lost, so it counts only for its own flow.
+    auto const required = packet == packet_novelty::Repeated ? 1 : m_settings.ejectionRetransmissions;
+    return backend.load.unansweredSinceLeave >= required;
+}
+
 bool backend_pool::isPresumedDead(pooled_backend const& backend, monotonic_time now) const
 {
     auto const& load = backend.load;
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -43,6 +43,13 @@
     Stale,
 };
 
+/// Whether a caller's packet carries new data.
+enum class packet_novelty : uint8_t {
+    New,
+    /// Data that the caller has sent before, while its request has no response.
+    Repeated,
+};
+
 /// Which control host reports the time of a server's last announcement.
 enum class announcement_reporter : uint8_t {
     /// The one that the server announces itself to.
@@ -97,12 +104,14 @@
     /// @return Whether the server has neither responded to any caller nor announced itself for so long that flows with
     ///     idempotent requests should be reset, so that callers retry at another server.
     bool isPresumedDead(pooled_backend const& backend, monotonic_time now) const;
-    /// @return Whether the server has left and no longer responds. Leaving alone is no evidence that its flows have
-    ///     ended: the server serves them until it has received the acknowledgement of its leave.
-    static bool hasStopped(pooled_backend const& backend)
-    {
-        return backend.entry.state() == backend_state::Gone && backend.load.hasStopped;
-    }
+    /// Records that a caller repeats data because the server has not responded.
+    /// @param sentAt When the previous transmission was forwarded.
+    void recordUnansweredData(pooled_backend& backend, monotonic_time sentAt);
+    /// @param packet Whether this is a repetition of data without a response.
+    /// @return Whether the server has left and no longer responds, so that the flow of the packet should be reset.
+    ///     Leaving alone is no evidence that its flows have ended: the server serves them until it has received the
+    ///     acknowledgement of its leave.
+    bool hasStopped(pooled_backend const& backend, packet_novelty packet) const;
     /// Records a packet that a caller retransmitted; ejects the server when there were enough without a response.
     /// @param since When the packet's first transmission arrived.
     void recordRetransmission(pooled_backend& backend, monotonic_time since, monotonic_time now);
@@ -138,7 +147,6 @@
         RecentlyDraining,
     };
 
-    static void recordState(pooled_backend& backend, backend_state previous, monotonic_time now);
     bool meets(pooled_backend const& backend, required_condition level, monotonic_time now) const;
     double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
     double idleFlowWeight(std::string const& service);
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -1,5 +1,7 @@
 #include <Placement/flow_observer.h>
 
+#include <utility>
+
 namespace bilberryyard {
 
 namespace {
@@ -92,7 +94,7 @@
     observed_flow flow;
     flow.token = token;
     flow.state = state;
-    flow.openedAt = flow.lastPacketAt = flow.requestAt = flow.sentAt = now;
+    flow.openedAt = flow.lastPacketAt = flow.requestAt = flow.sentAt = flow.transmittedAt = now;
     flow.sentEnd = nextSequence;
     addToLoad(flow);
     return flow;
@@ -137,7 +139,7 @@
         m_pool.recordRetransmission(*backend, flow->second.openedAt, now);
 }
 
-flow_observer::novelty flow_observer::recordPacket(caller_packet const& packet, monotonic_time now)
+packet_novelty flow_observer::recordPacket(caller_packet const& packet, monotonic_time now)
 {
     auto entry = m_flows.find(packet.flowEndpoints);
     if (entry != m_flows.end() && entry->second.state == phase::Refused) {
@@ -147,7 +149,11 @@
     if (entry != m_flows.end() && packet.token != noToken && packet.token != entry->second.token) {
         // The end of an earlier flow, or the rejection of a second handshake response.
         if (packet.purpose != packet_purpose::Continue)
-            return novelty::New;
+            return packet_novelty::New;
+        // A late packet of an earlier flow.
+        if (entry->second.state == phase::Opening
+            && packet.sequence - entry->second.sentEnd > maximumBytesSinceHandshake)
+            return packet_novelty::New;
         // The tracked flow is an earlier one of the same port, or another server has completed its handshake.
         removeFromLoad(entry->second);
         m_flows.erase(entry);
@@ -156,7 +162,7 @@
     if (entry == m_flows.end()) {
         // The handshake passed through another balancer.
         if (m_flows.size() >= m_settings.maximumObservedFlows || packet.purpose != packet_purpose::Continue)
-            return novelty::New;
+            return packet_novelty::New;
         entry
             = m_flows.emplace(packet.flowEndpoints, createFlow(packet.token, phase::Idle, packet.sequence, now)).first;
     }
@@ -169,7 +175,7 @@
         removeFromLoad(flow);
         m_flows.erase(entry);
     }
-    return isRepeated ? novelty::Repeated : novelty::New;
+    return isRepeated ? packet_novelty::Repeated : packet_novelty::New;
 }
 
 void flow_observer::recordProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now)
@@ -195,12 +201,15 @@
     if (!isAfter(end, flow.sentEnd)) {
         if (flow.state != phase::Busy || now - flow.sentAt < m_settings.minimumRetransmissionDelay)
             return false;
-        if (auto* const backend = m_pool.find(flow.token))
+        auto const previouslyAt = std::exchange(flow.transmittedAt, now);
+        if (auto* const backend = m_pool.find(flow.token)) {
             m_pool.recordRetransmission(*backend, flow.requestAt, now);
+            m_pool.recordUnansweredData(*backend, previouslyAt);
+        }
         return true;
     }
     flow.sentEnd = end;
-    flow.sentAt = now;
+    flow.sentAt = flow.transmittedAt = now;
     if (flow.state == phase::Idle) {
         flow.requestAt = now;
         flow.requestAcknowledgement = packet.acknowledgement;
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -48,17 +48,10 @@
     /// Records a retransmitted handshake packet. Called before its server is chosen.
     void recordRepeatedHandshake(caller_packet const& packet, monotonic_time now);
 
-    /// Whether a packet carries new data.
-    enum class novelty : uint8_t {
-        New,
-        /// Data that the caller has sent before, while its request has no response.
-        Repeated,
-    };
-
     /// Records any other packet of a flow. If the tracked flow of these endpoints has another server, the packet's flow
     /// replaces it, unless the packet ends it.
     /// @param packet Its token identifies the server.
-    novelty recordPacket(caller_packet const& packet, monotonic_time now);
+    packet_novelty recordPacket(caller_packet const& packet, monotonic_time now);
 
     /// Removes a flow that the balancer has reset, or that has no server.
     void removeFlow(flow_endpoints const& flowEndpoints);
@@ -90,6 +83,8 @@
         uint32_t sentEnd = 0;
         /// When the packet that ends at sentEnd was first received.
         monotonic_time sentAt;
+        /// When data was last received, for the first time or again.
+        monotonic_time transmittedAt;
     };
 
     void recordProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now);
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -157,9 +157,13 @@
     if (!backend)
         return discard_packet { discard_reason::UnknownToken };
     auto const novelty = m_observer.recordPacket(packet, now);
-    if (backend_pool::hasStopped(*backend) && packet.purpose != packet_purpose::Abort)
-        return reset(packet, reset_reason::ServerGone, now);
-    if (novelty == flow_observer::novelty::Repeated && isIdempotent(packet) && m_pool.isPresumedDead(*backend, now))
+    if (packet.purpose != packet_purpose::Abort && m_pool.hasStopped(*backend, novelty)) {
+        // The endpoints may belong to a later flow with another server by now, which a reset would end.
+        auto const trackedToken = m_observer.serverTokenOf(packet.flowEndpoints);
+        if (trackedToken == noToken || trackedToken == token)
+            return reset(packet, reset_reason::ServerGone, now);
+    }
+    if (novelty == packet_novelty::Repeated && isIdempotent(packet) && m_pool.isPresumedDead(*backend, now))
         return reset(packet, reset_reason::ServerUnresponsive, now);
     return forwardTo(*backend);
 }
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -281,9 +281,11 @@
     auto const since
         = [&](monotonic_time time) { return time == monotonic_time() ? int64_t { -1 } : milliseconds(now - time); };
     std::ostringstream text;
+    bool const isTracked = reset.observation.token != noToken;
     text << " purpose=" << nameOf(packet.purpose) << " data=" << packet.payloadBytes
-         << " tracked=" << reset.observation.token << " flow_ms=" << milliseconds(reset.observation.age)
-         << " data_ms=" << milliseconds(reset.observation.sinceData);
+         << " tracked=" << reset.observation.token
+         << " flow_ms=" << (isTracked ? milliseconds(reset.observation.age) : -1)
+         << " data_ms=" << (isTracked ? milliseconds(reset.observation.sinceData) : -1);
     if (auto const* const backend = m_router.pool().find(packet.token)) {
         text << " response_ms=" << since(backend->load.lastResponseAt)
              << " silent_ms=" << since(backend->load.withoutResponseSince)
