--- a/Meta/explain-resets.py
+++ b/Meta/explain-resets.py
@@ -28,7 +28,8 @@
 # Lines are written in batches, so the leading time is late, and the clocks of hosts differ. The smallest difference of
 # both is the offset of a host's clock. Differences that are further apart than this are steps of the clock.
 CLOCK_STEP_SECONDS = 0.5
-# A control host confirms a server that has stopped announcing itself for up to this time.
+# A control host confirms a server that has stopped announcing itself for up to this time. What a balancer learns of it
+# from such a confirmation is late by as much.
 CONFIRMATION_SECONDS = 2.0
 
 Event = collections.namedtuple("Event", "time host component name fields")
@@ -143,16 +144,15 @@
             if event.fields.get("state") != STATE_GONE and event.fields.get("started") == started:
                 signs.append((event.time - reset.time, "announced"))
         for event in self.resets_by_token[token]:
-            for field, kind in (("announced_ms", "announced"), ("response_ms", "response")):
+            for field, kind, delay in (("announced_ms", "announced", CONFIRMATION_SECONDS), ("response_ms", "response", 0)):
                 if number(event, field) >= 0:
-                    signs.append((event.time - number(event, field) / 1000 - reset.time, kind))
+                    signs.append((event.time - number(event, field) / 1000 - delay - reset.time, kind))
         for event in self.placements_on[token]:
             if event.fields.get("unanswered") == "0" and event.fields.get("state") != STATE_GONE:
                 heard = event.time - number(event, "heard_ms") / 1000 - CONFIRMATION_SECONDS
                 signs.append((heard - reset.time, "placed"))
         # Ages are whole milliseconds.
-        later = [sign for sign in signs if sign[0] > 0.002]
-        return max(later) if later else None
+        return max((sign for sign in signs if sign[0] > 0.002), default=None)
 
     def since_ready(self, reset):
         times = [time for time in self.ready[reset.host] if time <= reset.time]
