--- a/Services/Fleet/directory_feed.h
+++ b/Services/Fleet/directory_feed.h
@@ -70,9 +70,8 @@
     ///     that were released have the flag isLate, since another control host knows more about them.
     std::pair<std::vector<page_record>, uint64_t> records(monotonic_time now) const;
 
-    /// @return The times since the last announcements of those of the servers that announce themselves here. Empty
-    /// while
-    ///     this process cannot tell which servers are late, after a start or a suspension.
+    /// @return The times since the last announcements of those of the servers that announce themselves here. Empty for
+    ///     a while after a start or a suspension, as for markLate().
     std::vector<server_age> agesOf(std::vector<uint32_t> const& tokens, monotonic_time now) const;
 
     uint64_t epoch() const { return m_epoch; }
