Soak: Run no request of a flow that is not open at the server

The likely way, read from the code and not traced: the simulated server forgets a flow at its FIN, a delayed copy of the handshake begins it anew, and a delayed copy of the request is run again.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -223,6 +223,9 @@
             flow.echo, flow.received_at, flow.stray_times = echo, time.monotonic(), []
             if ack == flow.first_seq + 1 and flow.opened_at is None:
                 flow.opened_at = time.monotonic()
+            if flow.opened_at is None:
+                # A late copy of the handshake has begun another flow after the one of this packet had ended.
+                return
             self.receive_in_flow(key, flow, flags, seq, data)
 
     def receive_in_flow(self, key, flow, flags, seq, data):
