--- a/Tests/Fleet/test_directory_random.cpp
+++ b/Tests/Fleet/test_directory_random.cpp
@@ -18,7 +18,7 @@
 constexpr int addressCount = 12;
 constexpr int stepMs = 50;
 constexpr int publicationMs = 400;
-constexpr int callTimeoutMs = 1'000;
+constexpr int responseWaitMs = 1'000;
 
 /// A control host: its own directory, and what it has received from the others.
 struct control_host_model {
@@ -216,7 +216,7 @@
                     server.control = (server.control + 1) % controlCount;
             } else {
                 server.control = (server.control + 1) % controlCount;
-                server.nextCallAt = m_now + callTimeoutMs;
+                server.nextCallAt = m_now + responseWaitMs;
             }
         }
     }
