--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -133,27 +133,25 @@
         [&](uint32_t token) { return m_backends.at(token).entry.state() == backend_state::Ready; }));
 }
 
-bool backend_pool::meets(pooled_backend const& backend, required_condition level, monotonic_time now) const
+placement_criteria backend_pool::criteriaOf(pooled_backend const& backend, monotonic_time now) const
 {
+    using enum placement_criterion;
     auto const state = backend.entry.state();
-    if (level == required_condition::RecentlyDraining)
-        return state == backend_state::Draining && now - backend.entry.leavingSince <= m_settings.handshakeTimeout;
-    if (state != backend_state::Ready)
-        return false;
-    if (level == required_condition::Ready)
-        return true;
     auto const& load = backend.load;
     bool const isEjectionCandidate = load.retransmissionsSinceResponse >= m_settings.ejectionRetransmissions;
     auto const intervals
         = isEjectionCandidate ? m_settings.ejectionCandidateIntervals : m_settings.unresponsiveIntervals;
-    auto const timeSinceLastSeen = seconds(now - backend.liveness.latest());
-    if (m_health == directory_health::Current
-        && timeSinceLastSeen > intervals * seconds(m_settings.announcementInterval))
-        return false;
-    if (level == required_condition::Announced)
-        return true;
+    bool const isAnnounced = m_health == directory_health::Stale
+        || seconds(now - backend.liveness.latest()) <= intervals * seconds(m_settings.announcementInterval);
     // After an ejection, a single handshake at a time probes whether the server responds again.
-    return load.ejectedUntil <= now && !(isEjectionCandidate && load.opening > 0);
+    bool const isResponsive = load.ejectedUntil <= now && !(isEjectionCandidate && load.opening > 0);
+    bool const isRecentlyDraining
+        = state == backend_state::Draining && now - backend.entry.leavingSince <= m_settings.handshakeTimeout;
+    return placement_criteria::of(Permitted, Trusted)
+        .addIf(state == backend_state::Ready, Ready)
+        .addIf(isRecentlyDraining, RecentlyDraining)
+        .addIf(isAnnounced, Announced)
+        .addIf(isResponsive, Responsive);
 }
 
 bool backend_pool::mayRepeatHandshake(pooled_backend const& backend, monotonic_time now) const
@@ -212,24 +210,22 @@
     if (tokens == m_services.end())
         return nullptr;
     auto const idleWeight = idleFlowWeight(service);
-    for (auto const level : { required_condition::Healthy, required_condition::Announced, required_condition::Ready,
-             required_condition::RecentlyDraining }) {
-        pooled_backend* best = nullptr;
-        double bestCost = 0;
-        for (auto const token : tokens->second) {
-            auto& backend = m_backends.at(token);
-            if (!meets(backend, level, now))
-                continue;
-            auto const value = cost(backend, kind, idleWeight, now);
-            if (best && value >= bestCost)
-                continue;
-            best = &backend;
-            bestCost = value;
-        }
-        if (best)
-            return best;
+    pooled_backend* best = nullptr;
+    auto bestLevel = placementLevels.size();
+    double bestCost = 0;
+    for (auto const token : tokens->second) {
+        auto& backend = m_backends.at(token);
+        auto const level = strictestLevel(criteriaOf(backend, now));
+        if (!level || *level > bestLevel)
+            continue;
+        auto const value = cost(backend, kind, idleWeight, now);
+        if (*level == bestLevel && value >= bestCost)
+            continue;
+        best = &backend;
+        bestLevel = *level;
+        bestCost = value;
     }
-    return nullptr;
+    return best;
 }
 
 void backend_pool::recordAcknowledgement(pooled_backend& backend, monotonic_time now)
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -5,6 +5,7 @@
 #include <Placement/backend_load.h>
 #include <Placement/flow_token.h>
 #include <Placement/overload_control.h>
+#include <Placement/placement_criteria.h>
 #include <Placement/placement_settings.h>
 #include <Placement/route_table.h>
 #include <map>
@@ -89,8 +90,8 @@
     /// @return The server, or null for an unknown token. The pointer is valid until the server is removed.
     pooled_backend* find(uint32_t token);
 
-    /// Chooses the server of a new flow. Of the servers that meet the strictest condition that any server meets, the
-    /// one with the lowest cost is chosen.
+    /// Chooses the server of a new flow. Of the servers that meet the strictest of placementLevels that any server
+    /// meets, the one with the lowest cost is chosen.
     /// @return The server, or null when the service has none that accepts flows.
     pooled_backend* select(std::string const& service, request_kind kind, monotonic_time now);
 
@@ -136,18 +137,8 @@
     size_t readyCount(std::string const& service) const;
 
 private:
-    /// What a server must meet to be chosen, from the strictest to the weakest; each level drops one criterion.
-    enum class required_condition : uint8_t {
-        /// Announced, and neither ejected nor being probed with another handshake.
-        Healthy,
-        /// Ready, and seen recently by a control host; the latter is checked only while the directory is current.
-        Announced,
-        Ready,
-        /// Draining for less than the handshake timeout.
-        RecentlyDraining,
-    };
-
-    bool meets(pooled_backend const& backend, required_condition level, monotonic_time now) const;
+    /// @return What placement may rely on for this server.
+    placement_criteria criteriaOf(pooled_backend const& backend, monotonic_time now) const;
     double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
     double idleFlowWeight(std::string const& service);
     double slowness(pooled_backend const& backend, monotonic_time now) const;
