Placement: Take uploads as requests that must not run twice

A configuration with a route of the kind upload was refused as a whole, so the deployment served nothing. An upload is not idempotent and has a large request; placement treats it as other requests that must not run twice.

The fixture of the placement tests has a fourth route for it, which the check of the number of routes follows.

--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -406,7 +406,7 @@
     {
         if (source.services_size() != source.weights_size())
             return makeError(error_kind::InvalidArgument, "the numbers of services and weights of a route differ");
-        if (source.kind() < 1 || source.kind() > static_cast<uint32_t>(request_kind::Download))
+        if (source.kind() < 1 || source.kind() > static_cast<uint32_t>(request_kind::Upload))
             return makeError(
                 error_kind::InvalidArgument, "request kind " + std::to_string(source.kind()) + " is unknown");
         service_route route { request_kind { uint8_t(source.kind()) }, milliseconds(source.target_latency_ms()),
--- a/Libraries/Placement/route_table.h
+++ b/Libraries/Placement/route_table.h
@@ -17,8 +17,16 @@
     NonIdempotent = 2,
     /// Idempotent, with a large response.
     Download = 3,
+    /// Must not run more than once, with a large request.
+    Upload = 4,
 };
 
+/// @return Whether a request may be repeated after it may have run.
+constexpr bool isIdempotent(request_kind kind)
+{
+    return kind == request_kind::Idempotent || kind == request_kind::Download;
+}
+
 struct weighted_service {
     /// Index into route_table::services.
     uint32_t service = 0;
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -138,12 +138,12 @@
     return forwardTo(*backend);
 }
 
-bool token_router::isIdempotent(caller_packet const& packet) const
+bool token_router::mayRepeatRequest(caller_packet const& packet) const
 {
     if (!m_routes)
         return false;
     auto const route = m_routes->routes.find(packet.flowEndpoints.service);
-    return route != m_routes->routes.end() && route->second.kind != request_kind::NonIdempotent;
+    return route != m_routes->routes.end() && isIdempotent(route->second.kind);
 }
 
 packet_decision token_router::decide(caller_packet const& packet, monotonic_time now)
@@ -163,7 +163,7 @@
         if (trackedToken == noToken || trackedToken == token)
             return reset(packet, reset_reason::ServerGone, now);
     }
-    if (novelty == packet_novelty::Repeated && isIdempotent(packet) && m_pool.isPresumedDead(*backend, now))
+    if (novelty == packet_novelty::Repeated && mayRepeatRequest(packet) && m_pool.isPresumedDead(*backend, now))
         return reset(packet, reset_reason::ServerUnresponsive, now);
     return forwardTo(*backend);
 }
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -90,7 +90,8 @@
     /// @return A reset, after which the flow is no longer tracked.
     reset_flow reset(caller_packet const& packet, reset_reason reason, monotonic_time now);
     packet_decision open(caller_packet const& packet, monotonic_time now);
-    bool isIdempotent(caller_packet const& packet) const;
+    /// @return Whether the caller may repeat the request of the packet's flow at another server.
+    bool mayRepeatRequest(caller_packet const& packet) const;
     std::string const& chooseService(service_route const& route);
     bool isAdmitted(
         caller_packet const& packet, std::string const& service, service_route const& route, monotonic_time now) const;
--- a/Tests/Fleet/test_fleet_codec.cpp
+++ b/Tests/Fleet/test_fleet_codec.cpp
@@ -27,6 +27,8 @@
     table.services = { { "orders", 2'000 }, { "gallery", 0 } };
     table.routes[{ ip_address::fromIpv4(0xc6120001), 443 }]
         = { request_kind::NonIdempotent, milliseconds(250), milliseconds(2'500), 1, { { 0, 90 }, { 1, 10 } } };
+    table.routes[{ ip_address::fromIpv4(0xc6120001), 8'443 }]
+        = { request_kind::Upload, milliseconds(800), milliseconds(10'000), 2, { { 1, 1 } } };
     table.idleTimeout = milliseconds(12'000);
     return table;
 }
--- a/Tests/Placement/placement_fixture.h
+++ b/Tests/Placement/placement_fixture.h
@@ -13,6 +13,7 @@
     static constexpr uint16_t idempotentPort = 443;
     static constexpr uint16_t nonIdempotentPort = 8080;
     static constexpr uint16_t downloadPort = 8443;
+    static constexpr uint16_t uploadPort = 9443;
 
     placement_fixture()
         : router({}, "a", 7)
@@ -29,6 +30,7 @@
         add(idempotentPort, request_kind::Idempotent, 0);
         add(nonIdempotentPort, request_kind::NonIdempotent, 0);
         add(downloadPort, request_kind::Download, 1);
+        add(uploadPort, request_kind::Upload, 0);
         router.setRoutes(std::make_shared<route_table const>(table));
         router.pool().setDirectoryHealth(directory_health::Current);
         router.pool().setDirectoryCoverage(directory_coverage::Complete);
--- a/Tests/Placement/test_load_patterns.cpp
+++ b/Tests/Placement/test_load_patterns.cpp
@@ -103,6 +103,7 @@
     { "idempotent, overdue", placement_fixture::idempotentPort, 1'100, reset_reason::ServerUnresponsive },
     { "idempotent, not overdue", placement_fixture::idempotentPort, 700, std::nullopt },
     { "not idempotent, overdue", placement_fixture::nonIdempotentPort, 1'100, std::nullopt },
+    { "upload, overdue", placement_fixture::uploadPort, 1'100, std::nullopt },
 };
 
 // Crashed server: flows with idempotent requests are reset in time for a retry at another server. Other flows are not
--- a/Tests/Placement/test_token_router.cpp
+++ b/Tests/Placement/test_token_router.cpp
@@ -202,7 +202,7 @@
     route_table table;
     table.version = 1;
     BOOST_TEST(!fixture.router.setRoutes(std::make_shared<route_table const>(table)));
-    BOOST_TEST(fixture.router.routes()->routes.size() == 3u);
+    BOOST_TEST(fixture.router.routes()->routes.size() == 4u);
 }
 
 struct refused_row {
--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -106,6 +106,28 @@
     BOOST_TEST(splitRoute.services[1].service == 1u);
 }
 
+struct kind_row {
+    char const* name;
+    request_kind kind;
+};
+std::ostream& operator<<(std::ostream& stream, kind_row const& row) { return stream << row.name; }
+
+kind_row const kindRows[] = {
+    { "safe", request_kind::Idempotent },
+    { "unsafe", request_kind::NonIdempotent },
+    { "download", request_kind::Download },
+    { "upload", request_kind::Upload },
+};
+
+// Guards against a kind of requests for which a whole configuration is refused.
+BOOST_DATA_TEST_CASE(request_kinds_are_decoded, kindRows, row)
+{
+    auto const text = replaced(configuration, R"("Kind":"unsafe")", R"("Kind":")" + std::string(row.name) + '"');
+    auto const table = readConfiguration(text);
+    BOOST_REQUIRE(table.ok());
+    BOOST_CHECK(table->routes.at({ ip_address::fromIpv4(0xc6120001), 8'080 }).kind == row.kind);
+}
+
 // Guards against a large number that wraps around: a limit that is as good as none then takes effect at once.
 BOOST_AUTO_TEST_CASE(numbers_of_a_configuration_do_not_wrap_around)
 {
