--- a/Libraries/Configuration/versioned_document.cpp
+++ b/Libraries/Configuration/versioned_document.cpp
@@ -30,24 +30,4 @@
     return result;
 }
 
-absl::StatusOr<bool> document_register::apply(std::string_view payload)
-{
-    auto document = versioned_document::decode(payload);
-    if (!document.ok())
-        return document.status();
-    if (document->version <= m_current.version)
-        return false;
-    m_current = *std::move(document);
-    return true;
-}
-
-absl::Status document_register::restore(std::string_view data)
-{
-    auto document = versioned_document::decode(data);
-    if (!document.ok())
-        return document.status();
-    m_current = *std::move(document);
-    return absl::OkStatus();
-}
-
 } // namespace bilberryyard
