Fleet: Evacuate availability zones on an operator's order

The call of the operator got 404; no code knew it. Control hosts commit the order like a configuration, answer 503 or a redirect when they cannot, and 400 for a zone that the deployment does not have. They send the evacuated zones with a revision of their own to all balancers, and again with each hello message of a balancer that knows an older one. Balancers place new flows only outside these zones; open flows stay.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -19,6 +19,7 @@
         events::packetDropped,
         events::serverEjected,
         events::linesSuppressed,
+        events::evacuationInForce,
         events::tableChanged,
         events::serverJoined,
         events::serverLeaseExpired,
@@ -45,6 +46,8 @@
         events::documentApplied,
         events::groupChanged,
         events::documentRequested,
+        events::evacuationApplied,
+        events::evacuationRequested,
         events::httpListenFailed,
         events::requestHandlerFailed,
     };
--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -36,6 +36,7 @@
     inline constexpr log_event packetDropped { 203, log_severity::Information, "packet_dropped" };
     inline constexpr log_event serverEjected { 204, log_severity::Warning, "server_ejected" };
     inline constexpr log_event linesSuppressed { 205, log_severity::Warning, "lines_suppressed" };
+    inline constexpr log_event evacuationInForce { 206, log_severity::Information, "evacuation_in_force" };
     inline constexpr log_event tableChanged { 300, log_severity::Information, "table_changed" };
     inline constexpr log_event serverJoined { 400, log_severity::Information, "server_joined" };
     inline constexpr log_event serverLeaseExpired { 401, log_severity::Warning, "server_lease_expired" };
@@ -62,6 +63,8 @@
     inline constexpr log_event documentApplied { 606, log_severity::Information, "document_applied" };
     inline constexpr log_event groupChanged { 607, log_severity::Information, "group_changed" };
     inline constexpr log_event documentRequested { 608, log_severity::Information, "document_requested" };
+    inline constexpr log_event evacuationApplied { 609, log_severity::Information, "evacuation_applied" };
+    inline constexpr log_event evacuationRequested { 610, log_severity::Information, "evacuation_requested" };
     inline constexpr log_event httpListenFailed { 700, log_severity::Error, "http_listen_failed" };
     inline constexpr log_event requestHandlerFailed { 701, log_severity::Error, "request_handler_failed" };
 } // namespace events
--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -94,6 +94,7 @@
         auto& hello = *target.mutable_hello();
         write(*hello.mutable_host(), message.host);
         hello.set_configuration_version(message.configurationVersion);
+        hello.set_evacuation_revision(message.evacuationRevision);
         hello.set_directory_epoch(message.directoryEpoch);
         hello.set_directory_revision(message.directoryRevision);
         hello.set_wants_hosts(message.hosts == host_list::Requested);
@@ -109,6 +110,7 @@
         helloResponse.set_configuration_version(message.configurationVersion);
         helloResponse.set_uptime_ms(toMilliseconds(message.uptime));
         helloResponse.set_directory_restored(message.isDirectoryRestored);
+        helloResponse.set_evacuation_revision(message.evacuationRevision);
     }
 
     void write(wire::FleetMessage& target, directory_update const& message)
@@ -168,6 +170,14 @@
         }
     }
 
+    void write(wire::FleetMessage& target, evacuated_zones const& message)
+    {
+        auto& evacuations = *target.mutable_evacuated_zones();
+        evacuations.set_revision(message.revision);
+        for (auto const& zone : message.zones)
+            evacuations.add_zones(zone);
+    }
+
     /// Assigns an index to each distinct text of a page.
     class text_table {
     public:
@@ -280,7 +290,8 @@
         return hello_message { *std::move(host), source.configuration_version(), source.directory_epoch(),
             source.directory_revision(), source.wants_hosts() ? host_list::Requested : host_list::NotRequested,
             source.wants_all_servers() ? server_scope::All : server_scope::Own,
-            source.wants_routes() ? route_request::Requested : route_request::NotRequested };
+            source.wants_routes() ? route_request::Requested : route_request::NotRequested,
+            source.evacuation_revision() };
     }
 
     absl::StatusOr<fleet_message> read(wire::Welcome const& source)
@@ -295,6 +306,7 @@
         result.configurationVersion = source.configuration_version();
         result.uptime = milliseconds(source.uptime_ms());
         result.isDirectoryRestored = source.directory_restored();
+        result.evacuationRevision = source.evacuation_revision();
         return result;
     }
 
@@ -495,6 +507,10 @@
             return routes.status();
     case wire::FleetMessage::kRouteDifference:
         return read(source.route_difference());
+    case wire::FleetMessage::kEvacuatedZones: {
+        auto const& zones = source.evacuated_zones().zones();
+        return evacuated_zones { source.evacuated_zones().revision(), { zones.begin(), zones.end() } };
+    }
     case wire::FleetMessage::kControl:
         return control_envelope { source.control() };
     case wire::FleetMessage::kJoin: {
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Membership/backend_announcement.h>
+#include <Membership/evacuated_zones.h>
 #include <Placement/route_difference.h>
 #include <Placement/route_table.h>
 #include <compare>
@@ -70,6 +71,8 @@
     host_list hosts = host_list::NotRequested;
     server_scope servers = server_scope::Own;
     route_request routes = route_request::NotRequested;
+    /// Revision of the evacuated zones that the sender knows; 0 if it knows none.
+    uint64_t evacuationRevision = 0;
     auto operator<=>(hello_message const&) const = default;
 };
 
@@ -81,6 +84,8 @@
     duration uptime {};
     /// Whether the control host has restored a directory that an earlier incarnation saved.
     bool isDirectoryRestored = false;
+    /// Revision of the evacuated zones that the control host knows; 0 before the first order.
+    uint64_t evacuationRevision = 0;
     auto operator<=>(hello_response const&) const = default;
 };
 
@@ -218,6 +223,6 @@
 };
 
 using fleet_message = std::variant<hello_message, hello_response, directory_update, route_table, control_envelope,
-    join_request, directory_request, directory_page, age_request, age_response, route_difference>;
+    join_request, directory_request, directory_page, age_request, age_response, route_difference, evacuated_zones>;
 
 } // namespace bilberryyard
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -62,6 +62,14 @@
     }
 }
 
+bool backend_pool::setEvacuatedZones(evacuated_zones const& evacuations)
+{
+    if (evacuations.revision <= m_evacuations.revision)
+        return false;
+    m_evacuations = evacuations;
+    return true;
+}
+
 void backend_pool::setDisplacement(std::string const& id, std::string const& displacedBy, monotonic_time now)
 {
     auto* const backend = find(flowToken(id));
@@ -147,7 +155,8 @@
     bool const isResponsive = load.ejectedUntil <= now && !(isEjectionCandidate && load.opening > 0);
     bool const isRecentlyDraining
         = state == backend_state::Draining && now - backend.entry.leavingSince <= m_settings.handshakeTimeout;
-    return placement_criteria::of(Permitted, Trusted)
+    return placement_criteria::of(Trusted)
+        .addIf(!m_evacuations.zones.contains(backend.entry.announcement.zone), Permitted)
         .addIf(state == backend_state::Ready, Ready)
         .addIf(isRecentlyDraining, RecentlyDraining)
         .addIf(isAnnounced, Announced)
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Membership/backend_directory.h>
+#include <Membership/evacuated_zones.h>
 #include <Membership/server_liveness.h>
 #include <Placement/backend_load.h>
 #include <Placement/flow_token.h>
@@ -83,6 +84,10 @@
     void setLiveness(uint32_t token, server_liveness const& liveness);
     /// @param id Identifier of a server that the directory has removed.
     void remove(std::string const& id);
+    /// Replaces the evacuated zones unless their revision is not higher than the current one.
+    /// @return Whether they were replaced.
+    bool setEvacuatedZones(evacuated_zones const& evacuations);
+    evacuated_zones const& evacuations() const { return m_evacuations; }
     void setDirectoryHealth(directory_health health) { m_health = health; }
     void setDirectoryCoverage(directory_coverage coverage) { m_coverage = coverage; }
     directory_coverage coverage() const { return m_coverage; }
@@ -153,6 +158,7 @@
     std::string m_zone;
     uint64_t m_seed;
     uint64_t m_drawCount = 0;
+    evacuated_zones m_evacuations;
     directory_health m_health = directory_health::Stale;
     directory_coverage m_coverage = directory_coverage::Partial;
     std::unordered_map<uint32_t, pooled_backend> m_backends;
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -123,6 +123,14 @@
     }
 }
 
+void balancer_control::handle(ip_endpoint const& sender, evacuated_zones const& message, monotonic_time now)
+{
+    auto& link = m_links[sender];
+    link.lastSeenAt = now;
+    if (m_router.pool().setEvacuatedZones(message))
+        m_logger.emit(events::evacuationInForce, toText(message) + " from=" + link.name);
+}
+
 void balancer_control::applyChanges(
     ip_endpoint const& sender, directory_view::changes const& changes, server_lines lines, monotonic_time now)
 {
@@ -242,8 +250,8 @@
         m_settings.name, 0, {} };
     auto const knownPosition = m_directory.view().positionOf(peer);
     m_channel.send(peer,
-        hello_message {
-            self, m_router.version(), knownPosition.epoch, knownPosition.revision, hosts, servers, routes });
+        hello_message { self, m_router.version(), knownPosition.epoch, knownPosition.revision, hosts, servers, routes,
+            m_router.pool().evacuations().revision });
 }
 
 void balancer_control::requestServers(ip_endpoint const& peer, monotonic_time now)
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -68,6 +68,7 @@
     void handle(ip_endpoint const&, age_request const&, monotonic_time) { }
     void handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, age_response const& message, monotonic_time now);
+    void handle(ip_endpoint const& sender, evacuated_zones const& message, monotonic_time now);
     void sendHello(monotonic_time now);
     void sendHello(ip_endpoint const& peer, host_list hosts, server_scope servers, route_request routes);
     duration helloPeriod(monotonic_time now) const;
--- a/Services/Fleet/consensus_group.cpp
+++ b/Services/Fleet/consensus_group.cpp
@@ -100,15 +100,19 @@
     for (auto const& entry : action.entries) {
         if (entry.kind != entry_kind::Application)
             continue;
-        auto const applied = m_register.apply(entry.payload);
+        auto const applied = m_state.apply(entry.payload);
         if (!applied.ok()) {
             m_logger.emit(events::storageFailed, messageOf(applied.status()));
             m_member->persistFailed(applied.status(), now);
             return;
         }
-        m_logger.emit(events::documentApplied,
-            "index=" + std::to_string(entry.index) + " version=" + std::to_string(m_register.current().version)
-                + " outcome=" + (*applied ? "in_force" : "not_higher"));
+        if (*applied == applied_change::EvacuatedZones)
+            m_logger.emit(events::evacuationApplied,
+                "index=" + std::to_string(entry.index) + " " + toText(m_state.evacuations()));
+        else
+            m_logger.emit(events::documentApplied,
+                "index=" + std::to_string(entry.index) + " version=" + std::to_string(m_state.document().version)
+                    + " outcome=" + (*applied == applied_change::Document ? "in_force" : "not_higher"));
     }
 }
 
@@ -117,7 +121,7 @@
     // The snapshot of a newly bootstrapped group has no state.
     if (action.snapshot->data.empty())
         return;
-    if (auto const status = m_register.restore(action.snapshot->data); !status.ok()) {
+    if (auto const status = m_state.restore(action.snapshot->data); !status.ok()) {
         m_logger.emit(events::storageFailed, messageOf(status));
         m_member->persistFailed(status, now);
     }
@@ -125,7 +129,7 @@
 
 void consensus_group::perform(take_snapshot const& action, monotonic_time now)
 {
-    m_member->snapshotTaken(action.index, m_register.snapshot(), now).IgnoreError();
+    m_member->snapshotTaken(action.index, m_state.snapshot(), now).IgnoreError();
 }
 
 void consensus_group::perform(proposal_result const& action, monotonic_time)
@@ -144,7 +148,7 @@
 void consensus_group::perform(read_result const& action, monotonic_time)
 {
     if (action.status.ok())
-        m_readResponse = { absl::OkStatus(), m_register.current(), std::nullopt };
+        m_readResponse = { absl::OkStatus(), m_state.document(), std::nullopt };
     else
         m_readResponse = makeRefusal(action.status);
 }
@@ -168,23 +172,34 @@
     return address ? std::optional(address->peer) : std::nullopt;
 }
 
-void consensus_group::store(versioned_document const& document, response_handler respond, monotonic_time now)
+void consensus_group::propose(
+    std::string payload, std::function<bool()> const& isSatisfied, response_handler respond, monotonic_time now)
 {
-    if (!m_member)
-        return respond(
-            makeRefusal(makeError(error_kind::Unavailable, "this host has not joined the replicated log yet")));
+    // The read makes sure that the state is current, not only applied locally.
     auto const current = read(now);
     if (!current.status.ok())
         return respond(current);
-    // A stored version is acknowledged again. The read above makes sure that it is current, not only applied locally.
-    if (document.version <= current.document.version)
+    if (isSatisfied())
         return respond({ absl::OkStatus(), {}, std::nullopt });
     auto const token = m_nextToken++;
     m_proposals[token] = std::move(respond);
-    m_member->propose(token, document.encode(), now);
+    m_member->propose(token, std::move(payload), now);
     executeActions(now);
 }
 
+void consensus_group::store(versioned_document const& document, response_handler respond, monotonic_time now)
+{
+    // A stored version is acknowledged again.
+    propose(
+        document.encode(), [&] { return document.version <= m_state.document().version; }, std::move(respond), now);
+}
+
+void consensus_group::order(evacuation_order const& order, response_handler respond, monotonic_time now)
+{
+    propose(
+        order.encode(), [&] { return m_state.satisfies(order); }, std::move(respond), now);
+}
+
 document_response consensus_group::read(monotonic_time now)
 {
     if (!m_member)
--- a/Services/Fleet/consensus_group.h
+++ b/Services/Fleet/consensus_group.h
@@ -6,7 +6,7 @@
 #include "storage_worker.h"
 
 #include <Base/event_logger.h>
-#include <Configuration/versioned_document.h>
+#include <Configuration/operator_state.h>
 #include <Consensus/consensus_member.h>
 #include <Consensus/group_planner.h>
 #include <ControlMessages/control_codec.h>
@@ -52,6 +52,10 @@
     /// stored.
     void store(versioned_document const& document, response_handler respond, monotonic_time now);
 
+    /// Stores an order of an operator.
+    /// @param respond Called once, possibly before this call returns, with Ok if the order is in force.
+    void order(evacuation_order const& order, response_handler respond, monotonic_time now);
+
     /// @return The current document, or why it is not available.
     document_response read(monotonic_time now);
 
@@ -70,7 +74,9 @@
     monotonic_time nextDeadline() const;
 
     /// @return The latest committed document that this member has applied; may be stale.
-    versioned_document const& document() const { return m_register.current(); }
+    versioned_document const& document() const { return m_state.document(); }
+    /// @return The evacuated zones that this member has applied; may be stale.
+    evacuated_zones const& evacuations() const { return m_state.evacuations(); }
     bool isLeader() const { return m_member && m_member->role() == consensus_role::Leader; }
     /// @return Peer addresses of all other members.
     std::vector<ip_endpoint> memberPeers() const;
@@ -111,6 +117,10 @@
     void perform(read_result const& action, monotonic_time now);
     void perform(member_removed const& action, monotonic_time now);
 
+    /// Commits a payload unless the current state satisfies it already.
+    /// @param isSatisfied Returns whether that is so; called when the state is known to be current.
+    void propose(
+        std::string payload, std::function<bool()> const& isSatisfied, response_handler respond, monotonic_time now);
     void planMembers(known_hosts const& hosts, monotonic_time now);
     void sendJoinRequests(known_hosts const& hosts, monotonic_time now);
     void sendControl(ip_endpoint const& receiver, control_message::body_type body);
@@ -127,7 +137,7 @@
     posix_file_system m_files;
     std::unique_ptr<storage_worker> m_storage;
     std::optional<consensus_member<>> m_member;
-    document_register m_register;
+    operator_state m_state;
     /// Withdrawn with the first identity. A host whose member was removed has to join under a new identifier: with its
     /// first one and an empty log it could vote for a leader that lacks committed entries.
     bootstrap_permission m_bootstrap;
--- a/Services/Fleet/consensus_group_storage.cpp
+++ b/Services/Fleet/consensus_group_storage.cpp
@@ -110,9 +110,9 @@
 {
     m_bootstrap = bootstrap_permission::Forbidden;
     auto restored = storage.releaseRestoredState();
-    m_register = {};
+    m_state = {};
     if (!restored.snapshot->data.empty()) {
-        if (auto status = m_register.restore(restored.snapshot->data); !status.ok())
+        if (auto status = m_state.restore(restored.snapshot->data); !status.ok())
             return status;
     }
     auto member = consensus_member<>::create(
@@ -125,7 +125,7 @@
     m_lastConfiguredAt = now;
     m_logger.emit(events::memberStarted,
         "member=" + std::to_string(m_member->identity().member.value) + " last_index="
-            + std::to_string(m_member->lastIndex()) + " version=" + std::to_string(m_register.current().version));
+            + std::to_string(m_member->lastIndex()) + " version=" + std::to_string(m_state.document().version));
     executeActions(now);
     return absl::OkStatus();
 }
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -48,6 +48,7 @@
     constexpr char const* routesFile = "last-routes";
     constexpr char const* hostsFile = "last-hosts";
     constexpr char const* serversFile = "last-servers";
+    constexpr char const* evacuationsFile = "last-evacuations";
     // Maximum number of messages that one step handles before it checks timers.
     constexpr int messagesPerStep = 64;
 
@@ -216,6 +217,24 @@
     return response;
 }
 
+document_response control_service::order(evacuation_order const& order)
+{
+    auto const name = order.change == evacuation_change::Begin ? "begin" : "end";
+    document_response response;
+    if (!m_settings.zones.contains(order.zone))
+        response.status
+            = makeError(error_kind::InvalidArgument, "the deployment has no availability zone \"" + order.zone + "\"");
+    else
+        response = runOnServiceThread([this, order](std::shared_ptr<std::promise<document_response>> const& result) {
+            m_group.order(
+                order, [result](document_response const& ordered) { result->set_value(ordered); }, bootTime());
+        });
+    m_logger.emit(events::evacuationRequested,
+        "zone=" + order.zone + " change=" + name
+            + " outcome=" + (response.status.ok() ? std::string("ok") : "\"" + messageOf(response.status) + "\""));
+    return response;
+}
+
 document_response control_service::read()
 {
     auto response = runOnServiceThread([this](std::shared_ptr<std::promise<document_response>> const& result) {
@@ -263,6 +282,7 @@
     m_group.step(m_hosts, now);
     m_otherServers.step(now);
     refreshRoutes(now);
+    refreshEvacuations(now);
     publishDirectory(now);
     publishRoutes(now);
     if (now - m_helloSentAt >= helloInterval)
@@ -332,8 +352,11 @@
         message.hosts == host_list::Requested ? makeHelloResponse(host.role, now) : makeSelfOnlyHelloResponse(now));
     if (host.protocol == directory_protocol::Renewals)
         sendMissingServers(sender, message, now);
-    if (host.role == host_role::Balancer)
-        sendMissingRoutes(sender, message, now);
+    if (host.role != host_role::Balancer)
+        return;
+    sendMissingRoutes(sender, message, now);
+    if (message.evacuationRevision < m_evacuations.revision)
+        m_channel.send(sender, m_evacuations);
 }
 
 void control_service::sendMissingRoutes(ip_endpoint const& receiver, hello_message const& message, monotonic_time now)
@@ -370,6 +393,7 @@
     helloResponse.configurationVersion = m_routesVersion;
     helloResponse.uptime = now - m_startedAt;
     helloResponse.isDirectoryRestored = m_isDirectoryRestored;
+    helloResponse.evacuationRevision = m_evacuations.revision;
     return helloResponse;
 }
 
@@ -480,40 +504,49 @@
     m_group.saveFile(routesFile, m_encodedRoutes);
 }
 
+void control_service::refreshEvacuations(monotonic_time now)
+{
+    if (m_group.evacuations().revision <= m_evacuations.revision)
+        return;
+    m_evacuations = m_group.evacuations();
+    m_group.saveFile(evacuationsFile, encodeFleetMessage(m_evacuations));
+    for (auto const& host : m_hosts.list(host_role::Balancer, now, subscriberTimeout))
+        m_channel.send(host.peer, m_evacuations);
+}
+
+template <typename Message>
+std::optional<Message> control_service::loadMessage(char const* file)
+{
+    auto const bytes = m_group.loadFile(file);
+    if (!bytes)
+        return std::nullopt;
+    auto message = decodeFleetMessage(*bytes);
+    if (message.ok() && std::holds_alternative<Message>(*message))
+        return std::get<Message>(*std::move(message));
+    m_logger.emit(events::savedConfigurationDamaged, file);
+    return std::nullopt;
+}
+
 void control_service::restoreSavedState(monotonic_time now)
 {
     // After a power loss of the whole deployment there is no leader for about a second, and servers announce themselves
     // one by one. Until then callers are served with the saved routes, hosts and servers. Reads of the configuration
     // are never served from this state.
-    if (auto bytes = m_group.loadFile(routesFile)) {
-        auto const message = decodeFleetMessage(*bytes);
-        if (message.ok() && std::holds_alternative<route_table>(*message)) {
-            m_routesVersion = std::get<route_table>(*message).version;
-            m_routeHistory.add(std::get<route_table>(*message));
-            m_encodedRoutes = *std::move(bytes);
-            setServices(std::get<route_table>(*message), now);
-        } else {
-            m_logger.emit(events::savedConfigurationDamaged, routesFile);
-        }
-    }
-    if (auto const bytes = m_group.loadFile(hostsFile)) {
-        auto const message = decodeFleetMessage(*bytes);
-        if (message.ok() && std::holds_alternative<hello_response>(*message)) {
-            // The saved ages are unknown, so the hosts count as just seen; those that have left expire as usual.
-            for (auto const& host : std::get<hello_response>(*message).hosts)
-                m_hosts.updateHost(host, now);
-        } else {
-            m_logger.emit(events::savedConfigurationDamaged, hostsFile);
-        }
+    if (auto const routes = loadMessage<route_table>(routesFile)) {
+        m_routesVersion = routes->version;
+        m_routeHistory.add(*routes);
+        m_encodedRoutes = encodeFleetMessage(*routes);
+        setServices(*routes, now);
     }
-    if (auto const bytes = m_group.loadFile(serversFile)) {
-        auto const message = decodeFleetMessage(*bytes);
-        if (message.ok() && std::holds_alternative<directory_update>(*message)) {
-            restoreServers(std::get<directory_update>(*message), now);
-        } else {
-            m_logger.emit(events::savedConfigurationDamaged, serversFile);
-        }
+    if (auto const hosts = loadMessage<hello_response>(hostsFile)) {
+        // The saved ages are unknown, so the hosts count as just seen; those that have left expire as usual.
+        for (auto const& host : hosts->hosts)
+            m_hosts.updateHost(host, now);
     }
+    if (auto const servers = loadMessage<directory_update>(serversFile))
+        restoreServers(*servers, now);
+    if (auto const evacuations = loadMessage<evacuated_zones>(evacuationsFile))
+        m_evacuations = *evacuations;
 }
 
 void control_service::restoreServers(directory_update update, monotonic_time now)
@@ -574,6 +607,7 @@
 {
     m_metrics.setGauge("control_is_leader", m_group.isLeader() ? 1 : 0);
     m_metrics.setGauge("control_configuration_version", static_cast<double>(m_routesVersion));
+    m_metrics.setGauge("control_evacuated_zones", static_cast<double>(m_evacuations.zones.size()));
     m_metrics.setGauge("control_term", static_cast<double>(m_group.term()));
     m_metrics.setGauge("control_commit_index", static_cast<double>(m_group.commitIndex()));
     m_metrics.setGauge("peer_sent_bytes", static_cast<double>(m_channel.sentBytes()));
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -53,6 +53,11 @@
     /// @return Ok if the document or a higher version is stored.
     document_response store(versioned_document document);
 
+    /// Orders or ends the evacuation of an availability zone. Blocks like store(); must not be called on the thread of
+    /// run().
+    /// @return Ok if the order is in force; InvalidArgument for a zone that the deployment does not have.
+    document_response order(evacuation_order const& order);
+
     /// Reads the current document. Blocks like store(); must not be called on the thread of run().
     /// @return The document, or why it is not available.
     document_response read();
@@ -97,13 +102,21 @@
     void handle(ip_endpoint const&, age_response const&, monotonic_time) { }
     void handle(ip_endpoint const&, route_table const&, monotonic_time) { }
     void handle(ip_endpoint const&, route_difference const&, monotonic_time) { }
+    void handle(ip_endpoint const&, evacuated_zones const&, monotonic_time) { }
 
     void sendHellos(monotonic_time now);
     void publishDirectory(monotonic_time now);
     void publishRoutes(monotonic_time now);
     void refreshRoutes(monotonic_time now);
+    /// Sends newly evacuated or returned zones to all balancers. Those that miss the message receive it with their next
+    /// hello message.
+    void refreshEvacuations(monotonic_time now);
     void readSeeds();
     void restoreSavedState(monotonic_time now);
+    /// Decodes a file of an earlier incarnation.
+    /// @return Its message, or nullopt if there is none of this type.
+    template <typename Message>
+    std::optional<Message> loadMessage(char const* file);
     void restoreServers(directory_update update, monotonic_time now);
     enum class server_push : uint8_t {
         Done,
@@ -167,6 +180,7 @@
     monotonic_time m_serversEncodedAt;
     consensus_group m_group;
 
+    evacuated_zones m_evacuations;
     uint64_t m_routesVersion = 0;
     /// The newest routes as one message, for the file and for balancers that know no differences.
     std::string m_encodedRoutes;
--- a/Services/Fleet/fleet_settings.h
+++ b/Services/Fleet/fleet_settings.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
 struct fleet_settings {
     std::string name;
     std::string zone;
+    /// All availability zones of the deployment.
+    std::set<std::string> zones;
     host_role role = host_role::Balancer;
     ip_address address;
     /// UDP port for messages between daemons; the same on all hosts.
--- a/Tests/Fleet/test_fleet_codec.cpp
+++ b/Tests/Fleet/test_fleet_codec.cpp
@@ -73,6 +73,10 @@
     { "route difference", route_difference { 5, sampleRoutes(), { { ip_address::fromIpv4(0xc6120002), 80 } } } },
     { "routes", sampleRoutes() },
     { "consensus message", control_envelope { std::string("\0\x01\xff", 3) } },
+    { "hello that knows evacuated zones",
+        hello_message { host, 7, 99, 12, host_list::NotRequested, server_scope::Own, route_request::NotRequested, 3 } },
+    { "hello response that knows evacuated zones", hello_response { { host }, 7, milliseconds(9'000), true, 4 } },
+    { "evacuated zones", evacuated_zones { 4, { "a", "b" } } },
     { "join request", join_request { host, 0x1234567890 } },
 };
 
