Fleet: Acknowledge no order while an opposite one is uncommitted

An order that is in force already is acknowledged without an entry. While the begin of a caller that had timed out was still uncommitted, the end was acknowledged that way, and the begin took effect after it. The shortcut now needs a log without uncommitted entries; otherwise the order gets an entry of its own.

--- a/Services/Fleet/consensus_group.cpp
+++ b/Services/Fleet/consensus_group.cpp
@@ -196,8 +196,11 @@
 
 void consensus_group::order(evacuation_order const& order, response_handler respond, monotonic_time now)
 {
+    // An opposite order that is still uncommitted, of a caller that has timed out, would take effect after the
+    // acknowledgement.
     propose(
-        order.encode(), [&] { return m_state.satisfies(order); }, std::move(respond), now);
+        order.encode(), [&] { return m_member->lastIndex() == m_member->commitIndex() && m_state.satisfies(order); },
+        std::move(respond), now);
 }
 
 document_response consensus_group::read(monotonic_time now)
--- /dev/null
+++ b/Tests/Fleet/test_evacuation_orders.cpp
@@ -0,0 +1,116 @@
+// Orders of evacuations while control hosts, balancers and their messages fail.
+#include "control_fixture.h"
+
+#include <Base/error_kind.h>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <ostream>
+#include <set>
+
+using namespace bilberryyard;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto begin = evacuation_change::Begin;
+constexpr auto end = evacuation_change::End;
+
+/// Sends an order to each host in turn until one acknowledges it.
+bool orderAtLeader(std::vector<control_service*> const& hosts, evacuation_order const& order)
+{
+    for (auto const deadline = bootTime() + seconds(10); bootTime() < deadline;) {
+        for (auto* const host : hosts) {
+            if (host->order(order).status.ok())
+                return true;
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    return false;
+}
+
+/// Runs a balancer until it knows these evacuated zones.
+bool obeysWithin(balancer_probe& probe, std::set<std::string> const& zones, milliseconds timeout)
+{
+    for (auto const limit = bootTime() + timeout; bootTime() < limit;) {
+        probe.run(milliseconds(10));
+        if (probe.router.pool().evacuations().zones == zones)
+            return true;
+    }
+    return false;
+}
+
+// Guards against orders that a later or an older configuration undoes.
+BOOST_FIXTURE_TEST_CASE(configurations_leave_evacuations_in_force, control_fixture)
+{
+    running_control_host const host(settingsOf(1, { 1 }), metrics);
+    balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
+    BOOST_REQUIRE(storeWithin(*host.service, 5, seconds(8)).status.ok());
+    BOOST_REQUIRE(host.service->order({ "a", begin }).status.ok());
+    BOOST_REQUIRE(host.service->store({ 7, "7" }).status.ok());
+    BOOST_REQUIRE(host.service->store({ 6, "6" }).status.ok());
+    BOOST_TEST(obeysWithin(probe, { "a" }, milliseconds(2'000)));
+    BOOST_REQUIRE(host.service->order({ "a", end }).status.ok());
+    BOOST_TEST(obeysWithin(probe, {}, milliseconds(2'000)));
+    BOOST_TEST(probe.router.pool().evacuations().revision == 2u);
+}
+
+// Guards against an end that is acknowledged while the begin of a caller that timed out is still uncommitted: the zone
+// would be evacuated after it.
+BOOST_FIXTURE_TEST_CASE(end_is_not_acknowledged_before_an_uncommitted_begin, control_fixture)
+{
+    running_control_host const first(settingsOf(1, { 1, 2, 3 }), metrics);
+    running_control_host const second(settingsOf(2, { 1, 2, 3 }), metrics);
+    running_control_host const third(settingsOf(3, { 1, 2, 3 }), metrics);
+    std::vector<running_control_host const*> const hosts { &first, &second, &third };
+    BOOST_REQUIRE(storeAtLeader({ first.service.get(), second.service.get(), third.service.get() }, 5));
+    running_control_host const* leader = nullptr;
+    for (auto const* const host : hosts) {
+        if (host->service->read().status.ok())
+            leader = host;
+    }
+    BOOST_REQUIRE(leader);
+    auto const setFollowersSuspended = [&](bool isSuspended) {
+        for (auto const* const host : hosts) {
+            if (host != leader)
+                host->setSuspended(isSuspended);
+        }
+    };
+    setFollowersSuspended(true);
+    std::this_thread::sleep_for(milliseconds(200));
+    auto const send = [&](evacuation_change change) {
+        return std::async(std::launch::async, [leader, change] { return leader->service->order({ "a", change }); });
+    };
+    auto begun = send(begin);
+    std::this_thread::sleep_for(milliseconds(60));
+    auto ended = send(end);
+    BOOST_CHECK(ended.wait_for(milliseconds(100)) == std::future_status::timeout);
+    setFollowersSuspended(false);
+    begun.wait();
+    ended.wait();
+    BOOST_REQUIRE(orderAtLeader({ leader->service.get() }, { "b", begin }));
+    balancer_probe probe(settingsOf(9, { 1, 2, 3 }, host_role::Balancer));
+    BOOST_TEST(obeysWithin(probe, { "b" }, milliseconds(2'000)));
+}
+
+// Guards against a balancer that was suspended while an evacuation started or ended, and missed the messages.
+BOOST_FIXTURE_TEST_CASE(resumed_balancer_learns_what_it_missed, control_fixture)
+{
+    running_control_host const host(settingsOf(1, { 1 }), metrics);
+    BOOST_REQUIRE(storeWithin(*host.service, 5, seconds(8)).status.ok());
+    auto const settings = settingsOf(9, { 1 }, host_role::Balancer);
+    {
+        balancer_probe probe(settings);
+        BOOST_REQUIRE(host.service->order({ "a", begin }).status.ok());
+        BOOST_REQUIRE(obeysWithin(probe, { "a" }, milliseconds(2'000)));
+        BOOST_REQUIRE(host.service->order({ "a", end }).status.ok());
+        BOOST_REQUIRE(host.service->order({ "b", begin }).status.ok());
+        std::this_thread::sleep_for(milliseconds(300));
+        BOOST_TEST(obeysWithin(probe, { "b" }, milliseconds(2'000)));
+    }
+}
+
+} // namespace
