Fleet: Give orders of a new log higher revisions than those of a lost one

After the loss of more disks than the deployment tolerates, balancers and saved files held a higher revision than the new log, so that every balancer ignored the orders that the new log acknowledged. An order now carries the highest revision that any balancer or the saved file named, and gets a higher one.

--- a/Libraries/Configuration/operator_state.cpp
+++ b/Libraries/Configuration/operator_state.cpp
@@ -2,6 +2,7 @@
 
 #include <Base/error_kind.h>
 #include <Messages/configuration.pb.h>
+#include <algorithm>
 
 namespace bilberryyard {
 
@@ -22,6 +23,7 @@
     messages::EvacuationOrder order;
     order.set_zone(zone);
     order.set_begins(change == evacuation_change::Begin);
+    order.set_after_revision(afterRevision);
     return versioned_document { 0, order.SerializeAsString() }.encode();
 }
 
@@ -43,11 +45,11 @@
     messages::EvacuationOrder message;
     if (!parse(message, bytes) || message.zone().empty())
         return dataLoss("a stored order of an evacuation cannot be decoded");
-    evacuation_order const order { message.zone(),
-        message.begins() ? evacuation_change::Begin : evacuation_change::End };
+    evacuation_order const order { message.zone(), message.begins() ? evacuation_change::Begin : evacuation_change::End,
+        message.after_revision() };
     if (satisfies(order))
         return applied_change::None;
-    ++m_evacuations.revision;
+    m_evacuations.revision = std::max(m_evacuations.revision, order.afterRevision) + 1;
     if (order.change == evacuation_change::Begin)
         m_evacuations.zones.insert(order.zone);
     else
@@ -57,7 +59,9 @@
 
 bool operator_state::satisfies(evacuation_order const& order) const
 {
-    return m_evacuations.zones.contains(order.zone) == (order.change == evacuation_change::Begin);
+    // The first order of a new log counts as a change: a host may still obey a set of the log that was lost.
+    return m_evacuations.revision >= order.afterRevision
+        && m_evacuations.zones.contains(order.zone) == (order.change == evacuation_change::Begin);
 }
 
 std::string operator_state::snapshot() const
--- a/Libraries/Configuration/operator_state.h
+++ b/Libraries/Configuration/operator_state.h
@@ -18,6 +18,9 @@
 struct evacuation_order {
     std::string zone;
     evacuation_change change = evacuation_change::Begin;
+    /// The order gets a higher revision than this. Hosts may hold a higher revision than the log does, after the loss
+    /// of more disks than the deployment tolerates.
+    uint64_t afterRevision = 0;
     auto operator<=>(evacuation_order const&) const = default;
 
     /// @return The payload of a replicated entry. It cannot be mistaken for a document: the version is 0, which no
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -227,7 +227,8 @@
     else
         response = runOnServiceThread([this, order](std::shared_ptr<std::promise<document_response>> const& result) {
             m_group.order(
-                order, [result](document_response const& ordered) { result->set_value(ordered); }, bootTime());
+                { order.zone, order.change, m_highestEvacuationRevision },
+                [result](document_response const& ordered) { result->set_value(ordered); }, bootTime());
         });
     m_logger.emit(events::evacuationRequested,
         "zone=" + order.zone + " change=" + name
@@ -519,6 +520,7 @@
 {
     auto const bytes = m_group.loadFile(file);
     if (!bytes)
+    m_highestEvacuationRevision = std::max(m_highestEvacuationRevision, m_evacuations.revision);
         return std::nullopt;
     auto message = decodeFleetMessage(*bytes);
     if (message.ok() && std::holds_alternative<Message>(*message))
@@ -557,6 +559,7 @@
     applyChanges(m_otherServers.apply(self().peer, update, now));
     m_isDirectoryRestored = true;
 }
+    m_highestEvacuationRevision = m_evacuations.revision;
 
 void control_service::saveState(monotonic_time now)
 {
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -181,6 +181,8 @@
     consensus_group m_group;
 
     evacuated_zones m_evacuations;
+    /// The highest revision that this host, its saved file or any balancer has named.
+    uint64_t m_highestEvacuationRevision = 0;
     uint64_t m_routesVersion = 0;
     /// The newest routes as one message, for the file and for balancers that know no differences.
     std::string m_encodedRoutes;
--- a/Tests/Configuration/test_operator_state.cpp
+++ b/Tests/Configuration/test_operator_state.cpp
@@ -15,6 +15,11 @@
 std::string begin(std::string const& zone) { return evacuation_order { zone, evacuation_change::Begin }.encode(); }
 std::string end(std::string const& zone) { return evacuation_order { zone, evacuation_change::End }.encode(); }
 
+std::string afterRevision(evacuation_change change, uint64_t revision)
+{
+    return evacuation_order { "a", change, revision }.encode();
+}
+
 struct log_row {
     char const* name;
     std::vector<std::string> entries;
@@ -33,6 +38,13 @@
     { "two operators, the end comes last", { begin("a"), begin("a"), end("a") }, 0, { 2, {} } },
     { "two zones", { begin("a"), begin("b"), end("a") }, 0, { 3, { "b" } } },
     { "end without a begin", { end("a") }, 0, {} },
+    { "end in a new log, while hosts hold a revision of the lost one", { afterRevision(evacuation_change::End, 4) }, 0,
+        { 5, {} } },
+    { "begin in a new log", { afterRevision(evacuation_change::Begin, 4) }, 0, { 5, { "a" } } },
+    { "repeated end in a new log",
+        { afterRevision(evacuation_change::End, 4), afterRevision(evacuation_change::End, 5) }, 0, { 5, {} } },
+    { "begin in a new log after an order that names no revision",
+        { begin("a"), afterRevision(evacuation_change::Begin, 4) }, 0, { 5, { "a" } } },
 };
 
 // Guards against an evacuation that a configuration, a repeated order or the order of arrival undoes.
--- a/Tests/Fleet/test_evacuation_orders.cpp
+++ b/Tests/Fleet/test_evacuation_orders.cpp
@@ -96,6 +96,27 @@
     BOOST_TEST(obeysWithin(probe, { "b" }, milliseconds(2'000)));
 }
 
+// Guards against orders without effect after the log was lost: balancers ignored the low revisions of the new one.
+BOOST_FIXTURE_TEST_CASE(orders_of_a_new_log_reach_balancers_that_know_the_lost_one, control_fixture)
+{
+    auto const settings = settingsOf(1, { 1 });
+    balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
+    {
+        running_control_host const host(settings, metrics);
+        BOOST_REQUIRE(storeWithin(*host.service, 5, seconds(8)).status.ok());
+        for (auto const change : { begin, end, begin })
+            BOOST_REQUIRE(host.service->order({ "a", change }).status.ok());
+        BOOST_REQUIRE(obeysWithin(probe, { "a" }, milliseconds(2'000)));
+    }
+    std::filesystem::remove_all(settings.dataFolder);
+    std::filesystem::create_directories(settings.dataFolder);
+    running_control_host const host(settings, metrics);
+    BOOST_REQUIRE(storeWithin(*host.service, 5, seconds(8)).status.ok());
+    BOOST_TEST(!obeysWithin(probe, {}, milliseconds(1'500)));
+    BOOST_REQUIRE(host.service->order({ "a", end }).status.ok());
+    BOOST_TEST(obeysWithin(probe, {}, milliseconds(2'000)));
+}
+
 // Guards against a balancer that was suspended while an evacuation started or ended, and missed the messages.
 BOOST_FIXTURE_TEST_CASE(resumed_balancer_learns_what_it_missed, control_fixture)
 {
