Placement: End repeated handshakes with servers of evacuated zones

A repeated handshake stayed with the first server for as long as the caller repeated it. After the handshake timeout its repetitions now go to a server outside the zone, as for a server that drains. A gauge counts the open flows in evacuated zones, so that an operator sees when they are empty.

--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -62,11 +62,14 @@
     }
 }
 
-bool backend_pool::setEvacuatedZones(evacuated_zones const& evacuations)
+bool backend_pool::setEvacuatedZones(evacuated_zones const& evacuations, monotonic_time now)
 {
     if (evacuations.revision <= m_evacuations.revision)
         return false;
     m_evacuations = evacuations;
+    std::erase_if(m_evacuatedSince, [&](auto const& item) { return !m_evacuations.zones.contains(item.first); });
+    for (auto const& zone : m_evacuations.zones)
+        m_evacuatedSince.try_emplace(zone, now);
     return true;
 }
 
@@ -141,6 +144,16 @@
         [&](uint32_t token) { return m_backends.at(token).entry.state() == backend_state::Ready; }));
 }
 
+size_t backend_pool::evacuatedZoneFlows() const
+{
+    size_t count = 0;
+    for (auto const& [token, backend] : m_backends) {
+        if (m_evacuations.zones.contains(backend.entry.announcement.zone))
+            count += backend.load.open + backend.load.opening;
+    }
+    return count;
+}
+
 placement_criteria backend_pool::criteriaOf(pooled_backend const& backend, monotonic_time now) const
 {
     using enum placement_criterion;
@@ -169,6 +182,9 @@
         = backend.load.retransmissionsSinceResponse > 0 && now - backend.load.lastResponseAt > m_settings.responseGap;
     if (isUnresponsive || backend.load.ejectedUntil > now)
         return false;
+    auto const evacuation = m_evacuatedSince.find(backend.entry.announcement.zone);
+    if (evacuation != m_evacuatedSince.end() && now - evacuation->second > m_settings.handshakeTimeout)
+        return false;
     switch (backend.entry.state()) {
     case backend_state::Ready:
         return true;
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -86,7 +86,7 @@
     void remove(std::string const& id);
     /// Replaces the evacuated zones unless their revision is not higher than the current one.
     /// @return Whether they were replaced.
-    bool setEvacuatedZones(evacuated_zones const& evacuations);
+    bool setEvacuatedZones(evacuated_zones const& evacuations, monotonic_time now);
     evacuated_zones const& evacuations() const { return m_evacuations; }
     void setDirectoryHealth(directory_health health) { m_health = health; }
     void setDirectoryCoverage(directory_coverage coverage) { m_coverage = coverage; }
@@ -138,6 +138,8 @@
     std::vector<double> drainResponseTimes() { return std::exchange(m_responseTimes, {}); }
 
     size_t size() const { return m_backends.size(); }
+    /// @return Observed flows with servers of evacuated zones, with and without a complete handshake.
+    size_t evacuatedZoneFlows() const;
     /// @return Number of servers of the service in the state Ready.
     size_t readyCount(std::string const& service) const;
 
@@ -159,6 +161,8 @@
     uint64_t m_seed;
     uint64_t m_drawCount = 0;
     evacuated_zones m_evacuations;
+    /// When this balancer was told of each evacuation.
+    std::map<std::string, monotonic_time> m_evacuatedSince;
     directory_health m_health = directory_health::Stale;
     directory_coverage m_coverage = directory_coverage::Partial;
     std::unordered_map<uint32_t, pooled_backend> m_backends;
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -127,7 +127,8 @@
 {
     auto& link = m_links[sender];
     link.lastSeenAt = now;
-    if (m_router.pool().setEvacuatedZones(message))
+    link.evacuationRevision = message.revision;
+    if (m_router.pool().setEvacuatedZones(message, now))
         m_logger.emit(events::evacuationInForce, toText(message) + " from=" + link.name);
 }
 
--- a/Tests/Placement/test_evacuation.cpp
+++ b/Tests/Placement/test_evacuation.cpp
@@ -34,7 +34,7 @@
         fixture.announce(number, "a");
     for (int number = 4; number <= 6; ++number)
         fixture.announce(number, "b");
-    fixture.router.pool().setEvacuatedZones({ 1, row.evacuated });
+    fixture.router.pool().setEvacuatedZones({ 1, row.evacuated }, fixture.now);
     for (uint16_t caller = 20'000; caller < 20'004; ++caller) {
         auto const decision = fixture.open(caller);
         auto const token = placement_fixture::targetOf(decision);
@@ -52,7 +52,7 @@
     placement_fixture fixture;
     fixture.announce(1, "a");
     fixture.announce(2, "b", backend_state::Ready, "orders", 10'000);
-    fixture.router.pool().setEvacuatedZones({ 1, { "a" } });
+    fixture.router.pool().setEvacuatedZones({ 1, { "a" } }, fixture.now);
     fixture.router.pool().find(placement_fixture::tokenOf(2))->load.ejectedUntil
         = fixture.now + std::chrono::seconds(1);
     BOOST_TEST(placement_fixture::targetOf(fixture.open(20'000)).value() == placement_fixture::tokenOf(2));
@@ -66,10 +66,54 @@
     fixture.announce(2, "b");
     auto const token = fixture.openEstablished(20'000);
     BOOST_REQUIRE(token == placement_fixture::tokenOf(1));
-    fixture.router.pool().setEvacuatedZones({ 1, { "a" } });
+    fixture.router.pool().setEvacuatedZones({ 1, { "a" } }, fixture.now);
     BOOST_TEST(placement_fixture::targetOf(fixture.request(20'000, token)).value() == token);
 }
 
+struct repetition_row {
+    char const* name;
+    int elapsedMs;
+    int server;
+};
+std::ostream& operator<<(std::ostream& stream, repetition_row const& row) { return stream << row.name; }
+
+repetition_row const repetitionRows[] = {
+    { "the server may still respond to the first handshake packet", 200, 1 },
+    { "the server would have responded", 1'600, 2 },
+};
+
+// A caller that repeats a handshake for seconds: its repetitions count as new flows of the evacuated zone.
+BOOST_DATA_TEST_CASE(repeated_handshake_leaves_an_evacuated_zone_after_the_timeout, repetitionRows, row)
+{
+    placement_fixture fixture;
+    fixture.announce(1, "a");
+    fixture.announce(2, "b");
+    BOOST_REQUIRE(placement_fixture::targetOf(fixture.open(20'000)).value() == placement_fixture::tokenOf(1));
+    fixture.router.pool().setEvacuatedZones({ 1, { "a" } }, fixture.now);
+    // A later order does not extend the time.
+    fixture.advance(row.elapsedMs / 2);
+    fixture.router.pool().setEvacuatedZones({ 2, { "a", "c" } }, fixture.now);
+    fixture.advance(row.elapsedMs / 2);
+    // A server that responds to other callers is not silent.
+    fixture.router.pool().recordAcknowledgement(
+        *fixture.router.pool().find(placement_fixture::tokenOf(1)), fixture.now);
+    BOOST_TEST(placement_fixture::targetOf(fixture.open(20'000, 1)).value() == placement_fixture::tokenOf(row.server));
+}
+
+// The operator sees when a zone is empty.
+BOOST_AUTO_TEST_CASE(flows_in_evacuated_zones_are_counted)
+{
+    placement_fixture fixture;
+    fixture.announce(1, "a");
+    fixture.openEstablished(20'000);
+    fixture.open(20'001);
+    fixture.announce(2, "b");
+    BOOST_TEST(fixture.router.pool().evacuatedZoneFlows() == 0u);
+    fixture.router.pool().setEvacuatedZones({ 1, { "a" } }, fixture.now);
+    fixture.openEstablished(20'002);
+    BOOST_TEST(fixture.router.pool().evacuatedZoneFlows() == 2u);
+}
+
 struct revision_row {
     char const* name;
     uint64_t revision;
@@ -89,8 +133,8 @@
     placement_fixture fixture;
     fixture.announce(1, "a");
     fixture.announce(2, "b");
-    BOOST_REQUIRE(fixture.router.pool().setEvacuatedZones({ 2, { "a" } }));
-    BOOST_TEST(fixture.router.pool().setEvacuatedZones({ row.revision, {} }) == row.isApplied);
+    BOOST_REQUIRE(fixture.router.pool().setEvacuatedZones({ 2, { "a" } }, fixture.now));
+    BOOST_TEST(fixture.router.pool().setEvacuatedZones({ row.revision, {} }, fixture.now) == row.isApplied);
     auto const expected = placement_fixture::tokenOf(row.isApplied ? 1 : 2);
     BOOST_TEST(placement_fixture::targetOf(fixture.open(20'000)).value() == expected);
 }
