Fleet: Obtain the evacuated zones before the first routes

A balancer that had just started placed flows as soon as it had routes and servers, also when the message with the evacuated zones was lost, came later, or was never sent: control hosts that restarted after a power loss offered their saved routes and servers without them. Now the zones are sent first, a balancer requests a revision that a hello response names and it lacks, and accepts no routes before. The report of a control host without a configuration does not count.

--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -16,6 +16,8 @@
     constexpr duration unreadyHelloInterval = std::chrono::milliseconds(300);
     // Several control hosts may report the same newer version of the routes.
     constexpr duration routeRequestInterval = std::chrono::milliseconds(100);
+    // Several control hosts may report the same newer revision of the evacuated zones.
+    constexpr duration evacuationRequestInterval = std::chrono::milliseconds(100);
     // A control host needs this long to send 300 KB to a few hundred balancers that started together.
     constexpr duration serverRequestInterval = std::chrono::milliseconds(300);
     // Three hello messages without a response.
@@ -81,6 +83,12 @@
     link.completeAt = now - message.uptime + 2 * m_settings.announcementInterval;
     // A control host that has just started sends a hello response unrequested, before the next hello message is due.
     requestServers(sender, now);
+    // A control host without a configuration has not read the log yet, so it does not know the evacuations either.
+    if (message.configurationVersion > 0)
+        link.evacuationRevision = message.evacuationRevision;
+    updateEvacuationKnowledge(now);
+    if (message.evacuationRevision > m_router.pool().evacuations().revision)
+        requestEvacuations(sender, now);
     if (message.configurationVersion > m_router.version())
         requestRoutes(sender, now);
     requestPage(now);
@@ -130,6 +138,30 @@
     link.evacuationRevision = message.revision;
     if (m_router.pool().setEvacuatedZones(message, now))
         m_logger.emit(events::evacuationInForce, toText(message) + " from=" + link.name);
+    updateEvacuationKnowledge(now);
+}
+
+void balancer_control::updateEvacuationKnowledge(monotonic_time now)
+{
+    if (m_knowsEvacuations)
+        return;
+    bool hasReport = false;
+    bool isBehind = false;
+    for (auto const& [peer, link] : m_links) {
+        if (!link.evacuationRevision || !isReachable(link, now))
+            continue;
+        hasReport = true;
+        isBehind = isBehind || *link.evacuationRevision > m_router.pool().evacuations().revision;
+    }
+    m_knowsEvacuations = hasReport && !isBehind;
+}
+
+void balancer_control::requestEvacuations(ip_endpoint const& peer, monotonic_time now)
+{
+    if (now - m_evacuationsRequestedAt < evacuationRequestInterval)
+        return;
+    m_evacuationsRequestedAt = now;
+    sendHello(peer, host_list::NotRequested, server_scope::Own, route_request::NotRequested);
 }
 
 void balancer_control::applyChanges(
@@ -191,6 +223,9 @@
 
 void balancer_control::setRoutes(ip_endpoint const& sender, route_table table, monotonic_time now)
 {
+    // Without routes no flow is placed. Those that are dropped here are requested with the next hello response.
+    if (!m_knowsEvacuations)
+        return;
     auto const previousVersion = m_router.version();
     auto const version = table.version;
     auto const count = table.routes.size();
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -55,6 +55,8 @@
         std::string name;
         bool isUnresponsive = false;
         directory_protocol protocol = directory_protocol::Renewals;
+        /// Revision of the evacuated zones that it knows; nullopt until it has named one that counts.
+        std::optional<uint64_t> evacuationRevision;
     };
 
     void handle(ip_endpoint const& sender, hello_response const& message, monotonic_time now);
@@ -74,6 +76,9 @@
     duration helloPeriod(monotonic_time now) const;
     /// Requests the routes of a control host that has a newer version of them.
     void requestRoutes(ip_endpoint const& peer, monotonic_time now);
+    /// Requests the evacuated zones of a control host that has a newer revision of them.
+    void requestEvacuations(ip_endpoint const& peer, monotonic_time now);
+    void updateEvacuationKnowledge(monotonic_time now);
     void setRoutes(ip_endpoint const& sender, route_table table, monotonic_time now);
     /// Requests all servers from a reachable control host if no directory is known yet.
     void requestServers(ip_endpoint const& peer, monotonic_time now);
@@ -112,6 +117,9 @@
     monotonic_time m_helloSentAt;
     monotonic_time m_serversRequestedAt;
     monotonic_time m_routesRequestedAt;
+    monotonic_time m_evacuationsRequestedAt;
+    /// Whether this balancer has obtained the evacuated zones once. Until then it accepts no routes.
+    bool m_knowsEvacuations = false;
 };
 
 } // namespace bilberryyard
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -355,9 +355,11 @@
         sendMissingServers(sender, message, now);
     if (host.role != host_role::Balancer)
         return;
-    sendMissingRoutes(sender, message, now);
-    if (message.evacuationRevision < m_evacuations.revision)
+    m_highestEvacuationRevision = std::max(m_highestEvacuationRevision, message.evacuationRevision);
+    // Before the response, which names the revision: the balancer requests the zones if it lacks them then.
+    if (host.role == host_role::Balancer && message.evacuationRevision < m_evacuations.revision)
         m_channel.send(sender, m_evacuations);
+    sendMissingRoutes(sender, message, now);
 }
 
 void control_service::sendMissingRoutes(ip_endpoint const& receiver, hello_message const& message, monotonic_time now)
@@ -420,6 +422,8 @@
             for (page_cursor cursor;;) {
                 m_channel.sendEncoded(host.peer, pagedServers.encodedPageAt(cursor, host.zone));
                 auto const page = pagedServers.pageAt(cursor, host.zone);
+        // A balancer that has just started places no flows before it knows the evacuated zones.
+        m_channel.send(host.peer, m_evacuations);
                 if (page.isLast)
                     break;
                 cursor = page.next;
--- a/Tests/Fleet/test_evacuation_orders.cpp
+++ b/Tests/Fleet/test_evacuation_orders.cpp
@@ -43,6 +43,49 @@
     return false;
 }
 
+hello_response responseOf(uint64_t configurationVersion, uint64_t evacuationRevision)
+{
+    hello_response response;
+    response.configurationVersion = configurationVersion;
+    response.evacuationRevision = evacuationRevision;
+    return response;
+}
+
+struct start_row {
+    char const* name;
+    std::vector<fleet_message> messages;
+    uint64_t routesVersion;
+    evacuated_zones evacuations;
+};
+std::ostream& operator<<(std::ostream& stream, start_row const& row) { return stream << row.name; }
+
+start_row const startRows[] = {
+    { "routes arrive first", { tableOf(5) }, 0, {} },
+    { "no evacuation", { responseOf(5, 0), tableOf(5) }, 5, {} },
+    { "the message with the zones is lost", { responseOf(5, 2), tableOf(5) }, 0, {} },
+    { "the zones arrive before the response", { evacuated_zones { 2, { "a" } }, responseOf(5, 2), tableOf(5) }, 5,
+        { 2, { "a" } } },
+    { "the zones arrive after the response", { responseOf(5, 2), evacuated_zones { 2, { "a" } }, tableOf(5) }, 5,
+        { 2, { "a" } } },
+    { "the zones are older than the response", { responseOf(5, 2), evacuated_zones { 1, {} }, tableOf(5) }, 5,
+        { 1, {} } },
+    { "a host that has not read the log", { responseOf(0, 0), tableOf(5) }, 0, {} },
+    { "messages are repeated and arrive out of order",
+        { evacuated_zones { 3, { "b" } }, responseOf(5, 2), evacuated_zones { 2, { "a" } },
+            evacuated_zones { 3, { "b" } }, tableOf(5), tableOf(5) },
+        5, { 3, { "b" } } },
+};
+
+// Guards against a balancer that has just started and places flows before it knows the evacuated zones.
+BOOST_DATA_TEST_CASE_F(control_fixture, starting_balancer_learns_the_evacuated_zones_before_routes, startRows, row)
+{
+    balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
+    for (auto const& message : row.messages)
+        probe.control.receive({ addressOf(1), 27'921 }, message, bootTime());
+    BOOST_TEST(probe.router.version() == row.routesVersion);
+    BOOST_CHECK(probe.router.pool().evacuations() == row.evacuations);
+}
+
 // Guards against orders that a later or an older configuration undoes.
 BOOST_FIXTURE_TEST_CASE(configurations_leave_evacuations_in_force, control_fixture)
 {
@@ -96,6 +139,28 @@
     BOOST_TEST(obeysWithin(probe, { "b" }, milliseconds(2'000)));
 }
 
+// Guards against balancers that place flows in an evacuated zone after a power loss of everything, until a leader is
+// elected.
+BOOST_FIXTURE_TEST_CASE(saved_evacuations_are_obeyed_before_a_leader_is_elected, control_fixture)
+{
+    auto const settings = settingsOf(1, { 1, 2, 3 });
+    {
+        running_control_host const first(settings, metrics);
+        running_control_host const second(settingsOf(2, { 1, 2, 3 }), metrics);
+        std::vector const hosts { first.service.get(), second.service.get() };
+        BOOST_REQUIRE(storeAtLeader(hosts, 5));
+        BOOST_REQUIRE(orderAtLeader(hosts, { "a", begin }));
+        std::this_thread::sleep_for(milliseconds(1'000));
+    }
+    running_control_host const restartedHost(settings, metrics);
+    balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
+    for (auto const limit = bootTime() + seconds(2); probe.router.version() == 0 && bootTime() < limit;)
+        probe.run(milliseconds(5));
+    BOOST_TEST(probe.router.version() == 5u);
+    BOOST_CHECK((probe.router.pool().evacuations() == evacuated_zones { 1, { "a" } }));
+    BOOST_CHECK(errorKindOf(restartedHost.service->order({ "a", end }).status) == error_kind::Unavailable);
+}
+
 // Guards against orders without effect after the log was lost: balancers ignored the low revisions of the new one.
 BOOST_FIXTURE_TEST_CASE(orders_of_a_new_log_reach_balancers_that_know_the_lost_one, control_fixture)
 {
