Fleet: Drop calls that have timed out in the queue

A control host whose service thread had stood still executed the orders of callers that had been told to try another host, and may have sent the opposite order there.

--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -173,10 +173,15 @@
     auto const unavailable = [](char const* reason) {
         return document_response { makeError(error_kind::Unavailable, reason), {}, std::nullopt };
     };
-    if (!m_tasks.push([function = std::move(function), result] { function(result); }))
+    auto const deadline = bootTime() + requestTimeout;
+    // The caller repeats a call that timed out, and may have sent the opposite order since.
+    auto task = [function = std::move(function), result, deadline] {
+        if (bootTime() < deadline)
+            function(result);
+    };
+    if (!m_tasks.push(std::move(task)))
         return unavailable("the queue of configuration requests is full");
     m_wake.raise();
-    auto const deadline = bootTime() + requestTimeout;
     while (future.wait_for(stopCheckInterval) != std::future_status::ready) {
         if (m_isStopped)
             return unavailable(stoppingText);
--- a/Tests/Fleet/test_evacuation_orders.cpp
+++ b/Tests/Fleet/test_evacuation_orders.cpp
@@ -139,6 +139,22 @@
     BOOST_TEST(obeysWithin(probe, { "b" }, milliseconds(2'000)));
 }
 
+// Guards against an order that is executed after its caller was told to repeat it, and maybe has sent the opposite one.
+BOOST_FIXTURE_TEST_CASE(order_that_timed_out_in_the_queue_is_not_executed, control_fixture)
+{
+    running_control_host const host(settingsOf(1, { 1 }), metrics);
+    BOOST_REQUIRE(storeWithin(*host.service, 5, seconds(8)).status.ok());
+    host.setSuspended(true);
+    std::this_thread::sleep_for(milliseconds(800));
+    BOOST_CHECK(errorKindOf(host.service->order({ "a", begin }).status) == error_kind::Unavailable);
+    host.setSuspended(false);
+    host.service->wake().raise();
+    std::this_thread::sleep_for(milliseconds(300));
+    BOOST_REQUIRE(orderAtLeader({ host.service.get() }, { "b", begin }));
+    balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
+    BOOST_TEST(obeysWithin(probe, { "b" }, milliseconds(2'000)));
+}
+
 // Guards against balancers that place flows in an evacuated zone after a power loss of everything, until a leader is
 // elected.
 BOOST_FIXTURE_TEST_CASE(saved_evacuations_are_obeyed_before_a_leader_is_elected, control_fixture)
