--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -226,17 +226,18 @@
 {
     auto const name = order.change == evacuation_change::Begin ? "begin" : "end";
     document_response response;
-    if (!m_settings.zones.contains(order.zone))
-        response.status
-            = makeError(error_kind::InvalidArgument, "the deployment has no availability zone \"" + order.zone + "\"");
+    bool const isKnown = m_settings.zones.contains(order.zone);
+    if (!isKnown)
+        response.status = makeError(error_kind::InvalidArgument, "the deployment has no such availability zone");
     else
         response = runOnServiceThread([this, order](std::shared_ptr<std::promise<document_response>> const& result) {
             m_group.order(
                 { order.zone, order.change, m_highestEvacuationRevision },
                 [result](document_response const& ordered) { result->set_value(ordered); }, bootTime());
         });
+    // An unknown zone may contain anything that would make the log unreadable.
     m_logger.emit(events::evacuationRequested,
-        "zone=" + order.zone + " change=" + name
+        "zone=" + (isKnown ? order.zone : "-") + " zone_bytes=" + std::to_string(order.zone.size()) + " change=" + name
             + " outcome=" + (response.status.ok() ? std::string("ok") : "\"" + messageOf(response.status) + "\""));
     return response;
 }
@@ -354,16 +355,16 @@
     if (!m_hosts.find(host.peer))
         m_logger.emit(events::hostHeard, "host=" + host.name + " peer=" + host.peer.toText() + " zone=" + host.zone);
     m_hosts.updateHost(host, now);
+    m_highestEvacuationRevision = std::max(m_highestEvacuationRevision, message.evacuationRevision);
+    // Before the response, which names the revision: the balancer requests the zones if it lacks them then.
+    if (host.role == host_role::Balancer && message.evacuationRevision < m_evacuations.revision)
+        m_channel.send(sender, m_evacuations);
     m_channel.send(sender,
         message.hosts == host_list::Requested ? makeHelloResponse(host.role, now) : makeSelfOnlyHelloResponse(now));
     if (host.protocol == directory_protocol::Renewals)
         sendMissingServers(sender, message, now);
     if (host.role != host_role::Balancer)
         return;
-    m_highestEvacuationRevision = std::max(m_highestEvacuationRevision, message.evacuationRevision);
-    // Before the response, which names the revision: the balancer requests the zones if it lacks them then.
-    if (host.role == host_role::Balancer && message.evacuationRevision < m_evacuations.revision)
-        m_channel.send(sender, m_evacuations);
     sendMissingRoutes(sender, message, now);
 }
 
@@ -421,14 +422,14 @@
             ? pagedServers.pageCount(host.zone, maximumPushedPages + 1) <= maximumPushedPages
             : servers.size() <= maximumPushedBytes;
         isComplete = isComplete && isSmall;
+        // A balancer that has just started places no flows before it knows the evacuated zones.
+        m_channel.send(host.peer, m_evacuations);
         if (isSmall || !knowsLeases)
             m_channel.sendEncoded(host.peer, m_encodedRoutes);
         if (isSmall && knowsLeases) {
             for (page_cursor cursor;;) {
                 m_channel.sendEncoded(host.peer, pagedServers.encodedPageAt(cursor, host.zone));
                 auto const page = pagedServers.pageAt(cursor, host.zone);
-        // A balancer that has just started places no flows before it knows the evacuated zones.
-        m_channel.send(host.peer, m_evacuations);
                 if (page.isLast)
                     break;
                 cursor = page.next;
@@ -519,6 +520,7 @@
     if (m_group.evacuations().revision <= m_evacuations.revision)
         return;
     m_evacuations = m_group.evacuations();
+    m_highestEvacuationRevision = std::max(m_highestEvacuationRevision, m_evacuations.revision);
     m_group.saveFile(evacuationsFile, encodeFleetMessage(m_evacuations));
     for (auto const& host : m_hosts.list(host_role::Balancer, now, subscriberTimeout))
         m_channel.send(host.peer, m_evacuations);
@@ -529,7 +531,6 @@
 {
     auto const bytes = m_group.loadFile(file);
     if (!bytes)
-    m_highestEvacuationRevision = std::max(m_highestEvacuationRevision, m_evacuations.revision);
         return std::nullopt;
     auto message = decodeFleetMessage(*bytes);
     if (message.ok() && std::holds_alternative<Message>(*message))
@@ -558,6 +559,7 @@
         restoreServers(*servers, now);
     if (auto const evacuations = loadMessage<evacuated_zones>(evacuationsFile))
         m_evacuations = *evacuations;
+    m_highestEvacuationRevision = m_evacuations.revision;
 }
 
 void control_service::restoreServers(directory_update update, monotonic_time now)
@@ -568,7 +570,6 @@
     applyChanges(m_otherServers.apply(self().peer, update, now));
     m_isDirectoryRestored = true;
 }
-    m_highestEvacuationRevision = m_evacuations.revision;
 
 void control_service::saveState(monotonic_time now)
 {
--- a/Tests/Fleet/test_evacuation_orders.cpp
+++ b/Tests/Fleet/test_evacuation_orders.cpp
@@ -86,6 +86,27 @@
     BOOST_CHECK(probe.router.pool().evacuations() == row.evacuations);
 }
 
+struct unknown_row {
+    char const* name;
+    std::string zone;
+};
+std::ostream& operator<<(std::ostream& stream, unknown_row const& row) { return stream << row.name; }
+
+unknown_row const unknownRows[] = {
+    { "no zone", "" },
+    { "another deployment's zone", "z" },
+    { "line break", "a\nb" },
+    { "long name", std::string(10'000, 'a') },
+};
+
+// Guards against an order that is stored for a zone that no server is in.
+BOOST_DATA_TEST_CASE_F(control_fixture, unknown_zone_is_refused, unknownRows, row)
+{
+    running_control_host const host(settingsOf(1, { 1 }), metrics);
+    for (auto const change : { begin, end })
+        BOOST_CHECK(errorKindOf(host.service->order({ row.zone, change }).status) == error_kind::InvalidArgument);
+}
+
 // Guards against orders that a later or an older configuration undoes.
 BOOST_FIXTURE_TEST_CASE(configurations_leave_evacuations_in_force, control_fixture)
 {
