--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -173,10 +173,15 @@
     auto const unavailable = [](char const* reason) {
         return document_response { makeError(error_kind::Unavailable, reason), {}, std::nullopt };
     };
-    if (!m_tasks.push([function = std::move(function), result] { function(result); }))
+    auto const deadline = bootTime() + requestTimeout;
+    // The caller repeats a call that timed out, and may have sent the opposite order since.
+    auto task = [function = std::move(function), result, deadline] {
+        if (bootTime() < deadline)
+            function(result);
+    };
+    if (!m_tasks.push(std::move(task)))
         return unavailable("the queue of configuration requests is full");
     m_wake.raise();
-    auto const deadline = bootTime() + requestTimeout;
     while (future.wait_for(stopCheckInterval) != std::future_status::ready) {
         if (m_isStopped)
             return unavailable(stoppingText);
@@ -221,16 +226,18 @@
 {
     auto const name = order.change == evacuation_change::Begin ? "begin" : "end";
     document_response response;
-    if (!m_settings.zones.contains(order.zone))
-        response.status
-            = makeError(error_kind::InvalidArgument, "the deployment has no availability zone \"" + order.zone + "\"");
+    bool const isKnown = m_settings.zones.contains(order.zone);
+    if (!isKnown)
+        response.status = makeError(error_kind::InvalidArgument, "the deployment has no such availability zone");
     else
         response = runOnServiceThread([this, order](std::shared_ptr<std::promise<document_response>> const& result) {
             m_group.order(
-                order, [result](document_response const& ordered) { result->set_value(ordered); }, bootTime());
+                { order.zone, order.change, m_highestEvacuationRevision },
+                [result](document_response const& ordered) { result->set_value(ordered); }, bootTime());
         });
+    // An unknown zone may contain anything that would make the log unreadable.
     m_logger.emit(events::evacuationRequested,
-        "zone=" + order.zone + " change=" + name
+        "zone=" + (isKnown ? order.zone : "-") + " zone_bytes=" + std::to_string(order.zone.size()) + " change=" + name
             + " outcome=" + (response.status.ok() ? std::string("ok") : "\"" + messageOf(response.status) + "\""));
     return response;
 }
@@ -348,6 +355,10 @@
     if (!m_hosts.find(host.peer))
         m_logger.emit(events::hostHeard, "host=" + host.name + " peer=" + host.peer.toText() + " zone=" + host.zone);
     m_hosts.updateHost(host, now);
+    m_highestEvacuationRevision = std::max(m_highestEvacuationRevision, message.evacuationRevision);
+    // Before the response, which names the revision: the balancer requests the zones if it lacks them then.
+    if (host.role == host_role::Balancer && message.evacuationRevision < m_evacuations.revision)
+        m_channel.send(sender, m_evacuations);
     m_channel.send(sender,
         message.hosts == host_list::Requested ? makeHelloResponse(host.role, now) : makeSelfOnlyHelloResponse(now));
     if (host.protocol == directory_protocol::Renewals)
@@ -355,8 +366,6 @@
     if (host.role != host_role::Balancer)
         return;
     sendMissingRoutes(sender, message, now);
-    if (message.evacuationRevision < m_evacuations.revision)
-        m_channel.send(sender, m_evacuations);
 }
 
 void control_service::sendMissingRoutes(ip_endpoint const& receiver, hello_message const& message, monotonic_time now)
@@ -413,6 +422,8 @@
             ? pagedServers.pageCount(host.zone, maximumPushedPages + 1) <= maximumPushedPages
             : servers.size() <= maximumPushedBytes;
         isComplete = isComplete && isSmall;
+        // A balancer that has just started places no flows before it knows the evacuated zones.
+        m_channel.send(host.peer, m_evacuations);
         if (isSmall || !knowsLeases)
             m_channel.sendEncoded(host.peer, m_encodedRoutes);
         if (isSmall && knowsLeases) {
@@ -509,6 +520,7 @@
     if (m_group.evacuations().revision <= m_evacuations.revision)
         return;
     m_evacuations = m_group.evacuations();
+    m_highestEvacuationRevision = std::max(m_highestEvacuationRevision, m_evacuations.revision);
     m_group.saveFile(evacuationsFile, encodeFleetMessage(m_evacuations));
     for (auto const& host : m_hosts.list(host_role::Balancer, now, subscriberTimeout))
         m_channel.send(host.peer, m_evacuations);
@@ -547,6 +559,7 @@
         restoreServers(*servers, now);
     if (auto const evacuations = loadMessage<evacuated_zones>(evacuationsFile))
         m_evacuations = *evacuations;
+    m_highestEvacuationRevision = m_evacuations.revision;
 }
 
 void control_service::restoreServers(directory_update update, monotonic_time now)
