Operator: Check a configuration before it is sent

An operator learned only from the audit trail that an entry has no effect, and from a dry run against a deployment what a file changes. check-configuration works on a file alone: errors by the checks of the control hosts, warnings for entries that never take effect and for limits that contradict each other, and what differs from another file or from the configuration in force. It sends nothing.

--- a/Tests/Operator/test_operator.cpp
+++ b/Tests/Operator/test_operator.cpp
@@ -127,6 +127,78 @@
         == 66);
 }
 
+struct check_row {
+    char const* name;
+    std::string yaml;
+    string_list arguments;
+    int exitCode;
+    /// Part of the output; FILE stands for the path.
+    std::string output;
+};
+std::ostream& operator<<(std::ostream& stream, check_row const& row) { return stream << row.name; }
+
+check_row const checkRows[] = {
+    { "clean", firstYaml, {}, 0, "valid\n" },
+    { "error", "services:\n  - {nam: orders}\n", {}, 64, "error: FILE:2: services[0].nam: unknown key" },
+    { "warning", yamlWithSlots(2), {}, 1, "warning: FILE:2: services[0].slots: has no effect" },
+    { "warning as JSON", yamlWithSlots(2), { "--json" }, 1,
+        R"("warnings":["FILE:2: services[0].slots: has no effect)" },
+    { "error as JSON", "services:\n  - {nam: orders}\n", { "--json" }, 64, R"({"error":"FILE:2: services[0].nam)" },
+    { "difference", yamlWithSlots(7), { "--against", temporaryFile(firstYaml) }, 0, "+ services.orders.slots: 7" },
+    { "no difference", firstYaml, { "--against", temporaryFile(firstYaml) }, 0, "no difference" },
+};
+
+// Guards against a check of a configuration that needs a deployment, or that misses what a host would refuse.
+BOOST_DATA_TEST_CASE(configuration_is_checked_without_a_deployment, checkRows, row)
+{
+    auto const path = temporaryFile(row.yaml);
+    string_list arguments { "check-configuration", "--from", path };
+    arguments.insert(arguments.end(), row.arguments.begin(), row.arguments.end());
+    auto const outcome = runOperator(arguments);
+    BOOST_TEST(outcome.exitCode == row.exitCode, outcome.errors);
+    auto expected = row.output;
+    if (auto const position = expected.find("FILE"); position != std::string::npos)
+        expected.replace(position, 4, path);
+    BOOST_TEST(contains(outcome.output, expected), outcome.output);
+}
+
+// Guards against a check that changes the deployment it compares with.
+BOOST_AUTO_TEST_CASE(configuration_is_compared_with_the_one_in_force)
+{
+    test_host host;
+    applyFirstConfiguration(host);
+    auto const outcome = runAt(host, { "check-configuration", "--from", temporaryFile(yamlWithSlots(7)) });
+    BOOST_TEST(outcome.exitCode == 0, outcome.errors);
+    BOOST_TEST(contains(outcome.output, "+ services.orders.slots: 7"), outcome.output);
+    BOOST_TEST(host.backend().revision() == 1u);
+}
+
+struct unreadable_row {
+    char const* name;
+    string_list arguments;
+    int exitCode;
+};
+std::ostream& operator<<(std::ostream& stream, unreadable_row const& row) { return stream << row.name; }
+
+unreadable_row const unreadableRows[] = {
+    { "missing file", { "--from", "/nonexistent" }, 66 },
+    { "missing file to compare with", { "--from", temporaryFile(firstYaml), "--against", "/nonexistent" }, 66 },
+    { "invalid file to compare with",
+        { "--from", temporaryFile(firstYaml), "--against", temporaryFile("services: 3\n") }, 64 },
+    { "host that does not respond",
+        { "--from", temporaryFile(firstYaml), "--endpoint=127.0.0.1:1", "--timeout", "200ms" }, 69 },
+};
+
+// Guards against a check that reports a configuration as valid although it could not read what it needs.
+BOOST_DATA_TEST_CASE(check_of_unreadable_input_fails, unreadableRows, row)
+{
+    string_list arguments { "check-configuration" };
+    arguments.insert(arguments.end(), row.arguments.begin(), row.arguments.end());
+    auto const outcome = runOperator(arguments);
+    BOOST_TEST(outcome.exitCode == row.exitCode, outcome.errors);
+    BOOST_TEST(outcome.output.empty());
+}
+
 BOOST_AUTO_TEST_CASE(help_and_version_succeed)
 {
     auto const help = runOperator({ "--help" });
--- a/Utilities/Operator/command_line.cpp
+++ b/Utilities/Operator/command_line.cpp
@@ -22,6 +22,7 @@
   bilberryyard [options] [--endpoint=ADDRESS]... status
   bilberryyard [options] [--endpoint=ADDRESS]... get [--service=NAME] [--server=ADDRESS] [--stale]
   bilberryyard [options] [--endpoint=ADDRESS]... apply --from=FILE --reason=TEXT --base=REVISION [--dry-run]
+  bilberryyard [options] [--endpoint=ADDRESS]... check-configuration --from=FILE [--against=FILE] [--json]
   bilberryyard [options] [--endpoint=ADDRESS]... exception add TARGET KEY VALUE --reason=TEXT [--base=REVISION] [--dry-run]
   bilberryyard [options] [--endpoint=ADDRESS]... exception remove TARGET KEY --reason=TEXT [--base=REVISION] [--dry-run]
   bilberryyard [options] [--endpoint=ADDRESS]... drain SERVER --reason=TEXT [--undo] [--base=REVISION] [--dry-run]
@@ -52,6 +53,8 @@
   --base=REVISION     Revision that the change is based on; defaults to the current revision.
   --dry-run           Show the difference without making the change.
   --from=FILE         Configuration file in YAML.
+  --against=FILE      Configuration to compare with; without it and with an endpoint, the one in force.
+  --json              Print the result of check-configuration as JSON.
   --service=NAME      Show the settings in effect for a service.
   --server=ADDRESS    With --service, show the settings in effect for one of its servers.
   --stale             Accept data that may not be the latest.
@@ -62,7 +65,8 @@
   -h --help           Show this text.
   --version           Show the version.
 
-The exit code is 0 for success; otherwise it gives the kind of the error:
+The exit code of check-configuration is 0 for a clean configuration, 1 for one with warnings, 64 for an error.
+Otherwise the exit code is 0 for success; otherwise it gives the kind of the error:
 64 invalid_argument, 65 data_loss, 66 not_found, 69 unavailable, 70 internal, 71 resource_exhausted,
 73 conflict, 74 deadline_exceeded, 75 not_leader, 77 permission_denied, 78 failed_precondition.
 )";
@@ -89,10 +93,11 @@
             std::array<char const*, 2> words;
             operation requestedOperation;
         };
-        static constexpr std::array<row, 11> rows { {
+        static constexpr std::array<row, 12> rows { {
             { { "status", "status" }, operation::Status },
             { { "get", "get" }, operation::Get },
             { { "apply", "apply" }, operation::Apply },
+            { { "check-configuration", "check-configuration" }, operation::CheckConfiguration },
             { { "exception", "add" }, operation::ExceptionAdd },
             { { "exception", "remove" }, operation::ExceptionRemove },
             { { "drain", "drain" }, operation::Drain },
@@ -155,7 +160,8 @@
             texts = endpointValues->second.asStringList();
         if (texts.empty())
             texts = splitList(environment("BILBERRYYARD_ENDPOINTS"));
-        if (texts.empty())
+        // A file can be checked without a running deployment.
+        if (texts.empty() && line.requestedOperation != operation::CheckConfiguration)
             return invalidArgument("no endpoint is given: use --endpoint or set BILBERRYYARD_ENDPOINTS");
         for (auto const& text : texts) {
             auto const parsed = endpoint::parse(text);
@@ -225,6 +231,8 @@
     void copyPlainArguments(arguments_map const& values, command_line& line)
     {
         line.file = textOf(values, "--from");
+        line.against = textOf(values, "--against");
+        line.printsJson = isGiven(values, "--json");
         line.target = textOf(values, "TARGET");
         line.key = textOf(values, "KEY");
         line.value = textOf(values, "VALUE");
--- a/Utilities/Operator/command_line.h
+++ b/Utilities/Operator/command_line.h
@@ -20,6 +20,7 @@
     Status,
     Get,
     Apply,
+    CheckConfiguration,
     ExceptionAdd,
     ExceptionRemove,
     Explain,
@@ -54,8 +55,11 @@
     duration timeout = std::chrono::seconds(10);
     change_arguments change;
 
-    /// Apply: path of the configuration file.
+    /// Apply and check-configuration: path of the configuration file.
     std::string file;
+    /// Check-configuration: path of the configuration to compare with, and whether to print JSON.
+    std::string against;
+    bool printsJson = false;
     /// Exceptions and drain: target, key and value.
     std::string target;
     std::string key;
--- a/Utilities/Operator/operator_command.cpp
+++ b/Utilities/Operator/operator_command.cpp
@@ -18,6 +18,8 @@
 
 int operator_command::run()
 {
+    if (m_line.requestedOperation == operation::CheckConfiguration)
+        return checkConfigurationFile();
     auto request = makeRequest();
     if (!request.ok())
         return reportError({ request.status(), m_baseReadResult.body, {}, false });
@@ -28,6 +30,38 @@
     return 0;
 }
 
+int operator_command::checkConfigurationFile()
+{
+    auto const compared = readComparedConfiguration();
+    if (!compared.ok())
+        return reportError({ compared.status(), m_baseReadResult.body, {}, false });
+    auto const report = checkConfiguration(m_line.file, *compared);
+    if (!report.ok())
+        return reportError({ report.status(), {}, {}, false });
+    m_printer.print(m_line.printsJson ? report->toJson() : report->toText());
+    return report->exitCode();
+}
+
+absl::StatusOr<std::optional<configuration>> operator_command::readComparedConfiguration()
+{
+    if (!m_line.against.empty()) {
+        auto compared = readConfigurationFile(m_line.against);
+        return compared.ok() ? absl::StatusOr<std::optional<configuration>>(*std::move(compared)) : compared.status();
+    }
+    if (m_line.endpoints.empty())
+        return std::nullopt;
+    m_baseReadResult = m_session.send({ "GET", "/v1/configuration", {}, {}, {} });
+    if (!m_baseReadResult.status.ok())
+        return m_baseReadResult.status;
+    auto const* const value = m_baseReadResult.body.find("configuration");
+    if (!value)
+        return makeError(error_kind::Internal, "the host's response has no configuration");
+    auto inForce = configuration_reader("the configuration in force").read(*value);
+    if (!inForce.ok())
+        return inForce.status();
+    return std::optional(*std::move(inForce));
+}
+
 absl::StatusOr<http_request> operator_command::makeRequest()
 {
     switch (m_line.requestedOperation) {
--- a/Utilities/Operator/operator_command.h
+++ b/Utilities/Operator/operator_command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "command_line.h"
+#include "configuration_check.h"
 #include "operator_session.h"
 #include "response_printer.h"
 
@@ -16,6 +17,9 @@
     int run();
 
 private:
+    int checkConfigurationFile();
+    /// @return The configuration to compare with: from a file, or the one in force; nullopt without either.
+    absl::StatusOr<std::optional<configuration>> readComparedConfiguration();
     absl::StatusOr<http_request> makeRequest();
     absl::StatusOr<http_request> makeApplyRequest();
     absl::StatusOr<http_request> makeExceptionRequest();
--- a/Utilities/Operator/response_printer.cpp
+++ b/Utilities/Operator/response_printer.cpp
@@ -136,6 +136,8 @@
     }
 }
 
+void response_printer::print(std::string const& text) const { m_output << text; }
+
 void response_printer::printError(command_line const& line, session_result const& result) const
 {
     auto const& presentation = presentationFor(errorKindOf(result.status));
--- a/Utilities/Operator/response_printer.h
+++ b/Utilities/Operator/response_printer.h
@@ -17,6 +17,9 @@
     /// @param result A result whose status is ok.
     void print(command_line const& line, session_result const& result) const;
 
+    /// @param text Written unchanged.
+    void print(std::string const& text) const;
+
     /// @param result A result whose status is an error.
     void printError(command_line const& line, session_result const& result) const;
 
