Soak: Evacuate availability zones

An operator evacuates one zone after the other and takes each back, with lost acknowledgements and repeated orders. No undisturbed balancer may open a flow in a zone 4 s after its evacuation was acknowledged while everything was calm.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -9,7 +9,8 @@
 truncated; another program announces servers that can't be used; settings are changed with SIGHUP; the servers' HTTP
 calls pass a simulated proxy that delays or resets them, drops or delays the response or does not respond; packets
 between callers and the system are lost or delayed in one direction or both. Meanwhile servers are released in series,
-and the acknowledgement of a leave may be late or lost. Prints the seed and the violations; exits with 1 on a violation.
+and the acknowledgement of a leave may be late or lost, and
+an operator evacuates one zone after the other. Prints the seed and the violations; exits with 1 on a violation.
 """
 import argparse
 import asyncio
@@ -27,7 +28,7 @@
 import time
 
 DATA_PORT, READY_PORT, CONTROL_PORT, PEER_PORT, SERVER_PORT = 28172, 28167, 28166, 27720, 28080
-APPLY_S, STABLE_S, DRAIN_S, RECOVER_S, STRAY_S, IDLE_S = 3.0, 4.0, 3.0, 12.0, 2.0, 15.0
+APPLY_S, STABLE_S, DRAIN_S, RECOVER_S, STRAY_S, IDLE_S, EVACUATE_S = 3.0, 4.0, 3.0, 12.0, 2.0, 15.0, 4.0
 SYN, FIN, RST, ACK = 1, 16, 32, 64
 HEADER = struct.Struct(">B5sIIIIHHIHI")
 VIRTUAL_ADDRESS = struct.unpack(">I", bytes([198, 18, 0, 1]))[0]
@@ -97,7 +98,8 @@
             f'Ip = "{self.ip}"\nZone = "{self.zone}"\nPeerPortRange = [{PEER_PORT},{PEER_PORT + 15}]\n'
             f'Seeds = {json.dumps([f"{seed}:{CONTROL_PORT}" for seed in seeds])}\n'
             f'Bootstrap = {json.dumps(self.bootstrap)}\nDataDir = "{self.data}"\nHeartbeatMs = 500\n'
-            f'[Listen]\n{listen}\n[FaultTolerance]\nMachines = 1\n')
+            f'[Listen]\n{listen}\n[FaultTolerance]\nMachines = 1\n[Zones]\n'
+            + "".join(f'{zone} = "r"\n' for zone in self.soak.zones))
 
     def start(self):
         # Overlapping faults may both restart a host; without this check a second process would be leaked.
@@ -208,6 +210,7 @@
             if self.drained_at and time.monotonic() - self.drained_at > DRAIN_S + 0.5 and self.soak.is_calm(STABLE_S + 4):
                 self.soak.report_violation(
                     f"{self.id} got a new flow {time.monotonic() - self.drained_at:.1f} s after it drained")
+            self.soak.check_evacuation(self, sender)
             flow = self.flows.setdefault(key, Flow(self.soak.random.getrandbits(31), echo, seq + 1))
             flow.echo = echo
             self.reply(key, SYN | ACK, echo, flow.first_seq, seq + 1)
@@ -379,6 +382,7 @@
                           for index, zone in enumerate(self.zones) for copy in range(2)]
         self.seeds = [daemon.ip for daemon in self.controls][:3]
         self.servers, self.next_server = [], 0
+        self.evacuated_since, self.evacuations = {}, 0
 
     def report_violation(self, description):
         line = f"{time.monotonic() - self.started_at:7.2f} s: {description}"
@@ -446,6 +450,16 @@
                     and self.is_undisrupted(sender)):
                 self.report_flow_violation(f"packets reach {receiver.id} only", key, server, flow, sender)
 
+    def check_evacuation(self, server, sender):
+        """No undisturbed balancer opens flows in a zone whose evacuation was acknowledged a while ago."""
+        since = self.evacuated_since.get(server.zone)
+        if since is None or time.monotonic() - since <= EVACUATE_S or not self.is_calm(STABLE_S):
+            return
+        balancer = next(daemon for daemon in self.balancers if daemon.ip == sender)
+        if time.monotonic() - balancer.disturbed_at > STABLE_S:
+            self.report_violation(f"{server.id} in {server.zone} got a flow from {balancer.name} "
+                                  f"{time.monotonic() - since:.1f} s after the zone was evacuated")
+
     def check_reset(self, server, opened_at, port, service_port):
         alive = server is not None and not server.dead
         if alive and self.is_calm(STABLE_S + 1) and time.monotonic() - opened_at > 0.1:
@@ -509,6 +523,31 @@
                 await asyncio.sleep(0.2)
             await asyncio.sleep(self.random.random() * 1.5)
 
+    async def order_evacuation(self, change, zone):
+        """Repeats an order until it is acknowledged; an acknowledgement may be lost."""
+        end = time.monotonic() + 8
+        while time.monotonic() < end:
+            status, _ = await self.call(self.random.choice(self.controls).ip, "POST", f"/Evacuate.{change}/{zone}", "")
+            if 400 <= status < 500:
+                self.report_violation(f"order {change} of {zone} was refused with {status}")
+                return False
+            if status == 200 and self.random.random() < 0.7:
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    async def evacuate_zones(self):
+        while True:
+            zone = self.random.choice(self.zones)
+            if await self.order_evacuation("Start", zone):
+                self.evacuations += 1
+                self.evacuated_since[zone] = time.monotonic()
+                self.history.append(f"{time.monotonic() - self.started_at:7.2f} s evacuated {zone}")
+                await asyncio.sleep(EVACUATE_S + self.random.random() * 6)
+            self.evacuated_since.pop(zone, None)
+            await self.order_evacuation("End", zone)
+            await asyncio.sleep(self.random.random() * 3)
+
     async def check_reads(self):
         while True:
             requested_at = time.monotonic()
@@ -708,8 +747,14 @@
         background += [asyncio.create_task(self.generate_load(caller)) for caller in callers for _ in range(4)]
         background += [asyncio.create_task(self.use_idle_flows(caller)) for caller in callers for _ in range(4)]
         releases = asyncio.create_task(self.release_servers())
+        evacuations = asyncio.create_task(self.evacuate_zones())
         await self.inject_faults()
         releases.cancel()
+        evacuations.cancel()
+        self.evacuated_since.clear()
+        for zone in self.zones:
+            if not await self.order_evacuation("End", zone):
+                self.report_violation(f"the evacuation of {zone} could not be ended")
         faults_ended_at = time.monotonic()
         await asyncio.sleep(RECOVER_S + 4)
         late_results = [ok for at, ok in self.results if at > faults_ended_at + RECOVER_S]
@@ -732,7 +777,8 @@
                 daemon.process.wait()
         served = sum(ok for _, ok in self.results)
         print(f"soak: seed {self.seed}: {len(self.violations)} violations, {served} of {len(self.results)} flows served, "
-              f"{len(self.acknowledged)} configurations acknowledged, {len(self.history)} faults")
+              f"{len(self.acknowledged)} configurations acknowledged, {self.evacuations} evacuations, "
+              f"{len(self.history)} faults")
         print(f"resets of flows that are open at their server: {self.open_flow_resets}")
         if self.violations or keep:
             print(f"faults: {'; '.join(self.history)}\nlogs: {self.folder}")
