--- a/Tests/Fleet/control_fixture.h
+++ b/Tests/Fleet/control_fixture.h
@@ -36,7 +36,9 @@
 
     static ip_address addressOf(int number)
     {
-        return ip_address::fromIpv4(0x7f580100U + static_cast<uint32_t>(number));
+        // Each test process has its own network, since several may run at a time.
+        auto const network = static_cast<uint32_t>(getpid()) % 250 + 1;
+        return ip_address::fromIpv4(0x7f580000U + (network << 8) + static_cast<uint32_t>(number));
     }
 
     fleet_settings settingsOf(int number, std::vector<int> const& seeds, host_role role = host_role::Control)
