Membership: Report a warm-up that begins again as a change

Servers of a zone that was evacuated may warm up again without a new incarnation. The announcement passed for a renewal when the stored remaining time was not 0, which it stays in copies of the directory, and a host that took the server over did not send a record that its peers seemed to have.

The end of the warm-up decides now: one that is later than the known end by more than a second begins another warm-up.

--- a/Libraries/Membership/backend_directory.cpp
+++ b/Libraries/Membership/backend_directory.cpp
@@ -149,8 +149,10 @@
     return (hasLeft && mayHaveEnded) || !hadTimedOut;
 }
 
-void backend_directory::updateEntry(backend_entry& entry, backend_announcement const& announcement, monotonic_time now)
+void backend_directory::updateEntry(
+    backend_entry& entry, backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now)
 {
+    entry.warmUpEndsAt = receivedAt + announcement.remainingWarmUp;
     bool const wasLeaving = entry.revision > 0 && entry.announcement.state != backend_state::Ready
         && entry.announcement.startedAtMs == announcement.startedAtMs;
     if (!wasLeaving && announcement.state != backend_state::Ready)
@@ -175,7 +177,7 @@
     if (known == m_entries.end()) {
         auto& entry = m_entries[announcement.id];
         entry.lastSeenAt = receivedAt;
-        updateEntry(entry, announcement, now);
+        updateEntry(entry, announcement, receivedAt, now);
         return announcement_effect::Added;
     }
     auto& entry = known->second;
@@ -188,8 +190,9 @@
     comparable.sequence = entry.announcement.sequence;
     comparable.remainingWarmUp = entry.announcement.remainingWarmUp;
     // The end of a warm-up needs no change, since its time is known from the beginning.
-    bool const startedWarmUp
-        = announcement.remainingWarmUp > duration::zero() && entry.announcement.remainingWarmUp == duration::zero();
+    auto const warmUpEndsAt = receivedAt + announcement.remainingWarmUp;
+    bool const startedWarmUp = announcement.remainingWarmUp > duration::zero()
+        && warmUpEndsAt > entry.warmUpEndsAt + m_settings.warmUpTolerance;
     if (comparable == entry.announcement && !startedWarmUp) {
         entry.announcement.sequence = announcement.sequence;
         entry.announcement.remainingWarmUp = announcement.remainingWarmUp;
@@ -199,7 +202,7 @@
     }
     if (announcement.startedAtMs != entry.announcement.startedAtMs)
         recordRestart(entry, announcement.startedAtMs);
-    updateEntry(entry, announcement, now);
+    updateEntry(entry, announcement, receivedAt, now);
     return announcement_effect::Changed;
 }
 
@@ -230,7 +233,7 @@
         // receive it.
         auto& entry = m_entries[announcement.id];
         entry.lastSeenAt = receivedAt;
-        updateEntry(entry, announcement, now);
+        updateEntry(entry, announcement, receivedAt, now);
         return announcement_effect::Added;
     }
     auto& entry = known->second;
@@ -239,7 +242,7 @@
     auto goneAnnouncement = entry.announcement;
     goneAnnouncement.state = backend_state::Gone;
     goneAnnouncement.startedAtMs = std::max(announcement.startedAtMs, entry.announcement.startedAtMs);
-    updateEntry(entry, goneAnnouncement, now);
+    updateEntry(entry, goneAnnouncement, receivedAt, now);
     return announcement_effect::Changed;
 }
 
--- a/Libraries/Membership/backend_directory.h
+++ b/Libraries/Membership/backend_directory.h
@@ -19,6 +19,9 @@
     /// Servers that have left or are unresponsive are removed after this time. Longer than any flow lives, so that
     /// packets of an old flow are still matched to its server.
     duration retention = std::chrono::seconds(120);
+    /// Announcements of one warm-up state the same end, apart from delays of up to this time. A later end means that
+    /// another warm-up has begun.
+    duration warmUpTolerance = std::chrono::seconds(1);
     auto operator<=>(backend_directory_settings const&) const = default;
 };
 
@@ -48,6 +51,8 @@
     std::string displacedBy {};
     /// Start times of earlier incarnations that a later announcement has replaced, the latest last.
     std::vector<int64_t> endedStarts {};
+    /// When the announced warm-up ends.
+    monotonic_time warmUpEndsAt {};
     /// When the present incarnation was first seen; only meaningful if it has replaced another one.
     monotonic_time incarnationSeenAt {};
 
@@ -125,7 +130,8 @@
         backend_entry const& known, backend_announcement const& announcement, monotonic_time receivedAt) const;
     announcement_effect applyLeave(
         backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now);
-    void updateEntry(backend_entry& entry, backend_announcement const& announcement, monotonic_time now);
+    void updateEntry(
+        backend_entry& entry, backend_announcement const& announcement, monotonic_time receivedAt, monotonic_time now);
     void addClaim(backend_announcement const& announcement);
     void removeClaim(backend_announcement const& announcement);
 
--- a/Services/Fleet/directory_feed.cpp
+++ b/Services/Fleet/directory_feed.cpp
@@ -18,23 +18,27 @@
 {
 }
 
-bool directory_feed::isKnownElsewhere(backend_announcement const& announcement) const
+bool directory_feed::isKnownElsewhere(backend_announcement const& announcement, monotonic_time now) const
 {
     auto const known = m_elsewhere.find(announcement.id);
     if (known == m_elsewhere.end())
         return false;
     auto comparable = announcement;
-    comparable.sequence = known->second.sequence;
-    comparable.remainingWarmUp = known->second.remainingWarmUp;
-    return comparable == known->second;
+    comparable.sequence = known->second.announcement.sequence;
+    comparable.remainingWarmUp = known->second.announcement.remainingWarmUp;
+    bool const hasWarmUp = announcement.remainingWarmUp == duration::zero()
+        || now + announcement.remainingWarmUp
+            <= known->second.warmUpEndsAt + backend_directory_settings().warmUpTolerance;
+    return hasWarmUp && comparable == known->second.announcement;
 }
 
 bool directory_feed::contradictsElsewhere(backend_announcement const& announcement) const
 {
     auto const known = m_elsewhere.find(announcement.id);
     return known != m_elsewhere.end() && announcement.state != backend_state::Gone
-        && m_directory.isConfigured(known->second) && !m_directory.isConfigured(announcement)
-        && known->second.state != backend_state::Gone && known->second.address != announcement.address;
+        && m_directory.isConfigured(known->second.announcement) && !m_directory.isConfigured(announcement)
+        && known->second.announcement.state != backend_state::Gone
+        && known->second.announcement.address != announcement.address;
 }
 
 announcement_effect directory_feed::announce(backend_announcement const& announcement, monotonic_time now)
@@ -58,7 +62,7 @@
         return effect;
     }
     ++m_recordChanges;
-    if (effect == announcement_effect::Added && isKnownElsewhere(announcement))
+    if (effect == announcement_effect::Added && isKnownElsewhere(announcement, now))
         state.knownElsewhereRevision = state.livenessRevision = m_directory.find(announcement.id)->revision;
     return effect;
 }
@@ -87,10 +91,10 @@
     }
 }
 
-void directory_feed::recordElsewhere(backend_announcement const& announcement)
+void directory_feed::recordElsewhere(backend_announcement const& announcement, monotonic_time warmUpEndsAt)
 {
     std::lock_guard const lock(m_mutex);
-    m_elsewhere[announcement.id] = announcement;
+    m_elsewhere[announcement.id] = { announcement, warmUpEndsAt };
 }
 
 void directory_feed::forgetElsewhere(std::string const& id)
--- a/Services/Fleet/directory_feed.h
+++ b/Services/Fleet/directory_feed.h
@@ -30,7 +30,8 @@
 
     /// Records that peers have the server's record from another control host, so that only its token has to be sent
     /// when it announces itself here.
-    void recordElsewhere(backend_announcement const& announcement);
+    /// @param warmUpEndsAt End of the warm-up that peers know.
+    void recordElsewhere(backend_announcement const& announcement, monotonic_time warmUpEndsAt = {});
 
     /// Undoes recordElsewhere().
     void forgetElsewhere(std::string const& id);
@@ -91,7 +92,7 @@
         bool isReleased = false;
     };
 
-    bool isKnownElsewhere(backend_announcement const& announcement) const;
+    bool isKnownElsewhere(backend_announcement const& announcement, monotonic_time now) const;
     /// @return Whether the announcement would move a server of a configured service, which announces itself to another
     ///     control host, to another address, although no configuration names its own service.
     bool contradictsElsewhere(backend_announcement const& announcement) const;
@@ -105,7 +106,11 @@
     std::set<uint32_t> m_renewed;
     std::unordered_map<std::string, server_state> m_states;
     std::unordered_map<uint32_t, std::string> m_idsByToken;
-    std::unordered_map<std::string, backend_announcement> m_elsewhere;
+    struct elsewhere_record {
+        backend_announcement announcement;
+        monotonic_time warmUpEndsAt;
+    };
+    std::unordered_map<std::string, elsewhere_record> m_elsewhere;
     monotonic_time m_lateCheckedAt;
     monotonic_time m_lateCheckResumesAt;
 };
--- a/Tests/Fleet/test_directory_leases.cpp
+++ b/Tests/Fleet/test_directory_leases.cpp
@@ -332,4 +332,24 @@
     BOOST_TEST(!feed.drainChanges(at(12'000)).has_value());
 }
 
+// A server that warms up again while it begins to announce itself to another control host. Guards against a receiver
+// that takes it for warm, because the record seems to be known.
+BOOST_FIXTURE_TEST_CASE(another_warm_up_is_reported_by_another_control_host, lease_fixture)
+{
+    auto announcement = announcementOf(1, 1);
+    announcement.remainingWarmUp = std::chrono::seconds(8);
+    feed.announce(announcement, at(0));
+    transfer(feed, 1, 0);
+    directory_feed other { {}, 6 };
+    other.recordElsewhere(announcement, at(8'000));
+    other.announce(announcementOf(2, 1), at(0));
+    transfer(other, 2, 0);
+    ++announcement.sequence;
+    announcement.remainingWarmUp = std::chrono::milliseconds(7'500);
+    other.announce(announcement, at(30'000));
+    auto const changes = transfer(other, 2, 30'000);
+    BOOST_REQUIRE(changes.changed.size() == 1U);
+    BOOST_CHECK(view.directory().find(idOf(1))->announcement.remainingWarmUp == std::chrono::milliseconds(7'500));
+}
+
 } // namespace
--- a/Tests/Membership/test_backend_directory.cpp
+++ b/Tests/Membership/test_backend_directory.cpp
@@ -414,4 +414,36 @@
     BOOST_TEST(directory.entries().empty());
 }
 
+struct warm_up_row {
+    char const* name;
+    int firstRemainingMs;
+    /// Time from the first announcement to the second.
+    int gapMs;
+    int secondRemainingMs;
+    announcement_effect effect;
+};
+std::ostream& operator<<(std::ostream& stream, warm_up_row const& row) { return stream << row.name; }
+
+warm_up_row const warmUpRows[] = {
+    { "the same warm-up", 8'000, 1'000, 7'000, announcement_effect::Renewed },
+    { "the same warm-up, announcement delayed", 8'000, 1'900, 7'000, announcement_effect::Renewed },
+    { "the warm-up has ended", 8'000, 9'000, 0, announcement_effect::Renewed },
+    { "a first warm-up without a restart", 0, 1'000, 8'000, announcement_effect::Changed },
+    { "another warm-up after the end of the first", 8'000, 60'000, 7'500, announcement_effect::Changed },
+    { "another warm-up before the end of the first", 8'000, 4'000, 8'000, announcement_effect::Changed },
+};
+
+// Servers of a zone that was evacuated may warm up again without a restart. Guards against a warm-up that only the
+// control host learns of, because the announcement passes for a renewal.
+BOOST_DATA_TEST_CASE(another_warm_up_is_a_change, warmUpRows, row)
+{
+    backend_directory directory;
+    auto announcement = announcementOf("i-1", 80, 100, 1, ready);
+    announcement.remainingWarmUp = std::chrono::milliseconds(row.firstRemainingMs);
+    directory.apply(announcement, at(0), at(0));
+    ++announcement.sequence;
+    announcement.remainingWarmUp = std::chrono::milliseconds(row.secondRemainingMs);
+    BOOST_CHECK(directory.apply(announcement, at(row.gapMs), at(row.gapMs)) == row.effect);
+}
+
 } // namespace
