Configuration: Read the limits of servers that warm up

ColdStartS and ColdPerS of a service, and ColdExcess and ColdSlack of the settings. A negative value or one of another type is rejected with the names of the service and the field.

--- a/Libraries/Placement/route_table.h
+++ b/Libraries/Placement/route_table.h
@@ -48,6 +48,10 @@
 struct routed_service {
     std::string name;
     uint32_t maximumConnections = 0;
+    /// How long a server warms up after its start.
+    duration coldDuration {};
+    /// Requests a second that a server bears meanwhile; 0 for no limit.
+    double coldRequestsPerSecond = 0;
     auto operator<=>(routed_service const&) const = default;
 };
 
--- a/Services/Fleet/fleet_settings.h
+++ b/Services/Fleet/fleet_settings.h
@@ -49,6 +49,10 @@
     duration announcementInterval = std::chrono::seconds(1);
     /// Time from the request to stop until the process is killed.
     duration terminationGrace = std::chrono::seconds(6);
+    /// Requests that a server may receive in any second of its warm-up: a multiple of what its service states, plus a
+    /// constant.
+    double coldRequestExcess = 1;
+    double coldRequestSlack = 0;
     auto operator<=>(fleet_settings const&) const = default;
 };
 
--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -106,6 +106,47 @@
     BOOST_TEST(splitRoute.services[1].service == 1u);
 }
 
+struct warm_up_row {
+    char const* name;
+    char const* fields;
+    duration coldDuration;
+    double requestsPerSecond;
+    /// Empty if the configuration is valid.
+    char const* error;
+};
+std::ostream& operator<<(std::ostream& stream, warm_up_row const& row) { return stream << row.name; }
+
+constexpr char const* durationError = "ColdStartS of service \"huvo11a\" is not a number of at least 0";
+constexpr char const* rateError = "ColdPerS of service \"huvo11a\" is not a number of at least 0";
+
+warm_up_row const warmUpRows[] = {
+    { "absent", "", {}, 0, "" },
+    { "no limit", R"("ColdStartS":8,"ColdPerS":0.0,)", std::chrono::seconds(8), 0, "" },
+    { "a limit", R"("ColdStartS":7.5,"ColdPerS":2.5,)", std::chrono::milliseconds(7'500), 2.5, "" },
+    { "a limit without a duration", R"("ColdPerS":3,)", {}, 3, "" },
+    { "an endless warm-up", R"("ColdStartS":1e300,"ColdPerS":3,)", std::chrono::hours(24), 3, "" },
+    { "negative limit", R"("ColdPerS":-1,)", {}, 0, rateError },
+    { "limit of another type", R"("ColdPerS":"2",)", {}, 0, rateError },
+    { "negative duration", R"("ColdStartS":-0.5,)", {}, 0, durationError },
+    { "duration of another type", R"("ColdStartS":[8],)", {}, 0, durationError },
+};
+
+// Guards against a limit that is misread, so that servers get too many requests during their warm-up or none.
+BOOST_DATA_TEST_CASE(warm_up_limits_are_decoded, warmUpRows, row)
+{
+    auto const table = readConfiguration(
+        replaced(configuration, R"("Name":"huvo11a",)", R"("Name":"huvo11a",)" + std::string(row.fields)));
+    BOOST_REQUIRE(table.ok() == std::string(row.error).empty());
+    if (!table.ok()) {
+        BOOST_CHECK(errorKindOf(table.status()) == error_kind::InvalidArgument);
+        BOOST_TEST(messageOf(table.status()) == row.error);
+        return;
+    }
+    BOOST_CHECK(table->services[0].coldDuration == row.coldDuration);
+    BOOST_TEST(table->services[0].coldRequestsPerSecond == row.requestsPerSecond);
+    BOOST_TEST(table->services[1].coldRequestsPerSecond == 0);
+}
+
 struct kind_row {
     char const* name;
     request_kind kind;
@@ -258,7 +299,33 @@
     BOOST_CHECK(settings->announcementInterval == std::chrono::milliseconds(770));
 }
 
+struct bounds_row {
+    char const* name;
+    char const* text;
+    double excess;
+    double slack;
+};
+std::ostream& operator<<(std::ostream& stream, bounds_row const& row) { return stream << row.name; }
+
+bounds_row const boundsRows[] = {
+    { "absent", "", 1, 0 },
+    { "both", "ColdExcess = 1.5\nColdSlack = 5\n", 1.5, 5 },
+    { "whole and fractional numbers", "ColdExcess = 2\nColdSlack = 0.5\n", 2, 0.5 },
+};
+
+// Guards against a limit of servers that warm up which is too high because its bounds are not read.
+BOOST_DATA_TEST_CASE(bounds_of_warm_ups_are_decoded, boundsRows, row)
+{
+    auto const settings
+        = readBootSettings(replaced(settingsText, "GraceS = 6\n", "GraceS = 6\n" + std::string(row.text)));
+    BOOST_REQUIRE(settings.ok());
+    BOOST_TEST(settings->coldRequestExcess == row.excess);
+    BOOST_TEST(settings->coldRequestSlack == row.slack);
+}
+
 body_row const settingsRows[] = {
+    { "negative bound of warm-ups", "GraceS = 6", "ColdExcess = -1.5" },
+    { "bound of warm-ups as text", "GraceS = 6", "ColdSlack = \"5\"" },
     { "no name", "Node = \"core-a-1\"", "" },
     { "no address", "Ip = \"10.1.0.12\"", "" },
     { "bad address", "10.1.0.12\"\nZone", "ten\"\nZone" },
