--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -55,6 +55,7 @@
     backend.liveness = { entry.lastSeenAt, nullptr };
     backend.announcedAt = std::max(backend.announcedAt, entry.lastSeenAt);
     backend.warmUpEndsAt = now + entry.announcement.remainingWarmUp;
+    backend.warmUpUpdatedAt = now;
     if (restarted) {
         backend.load.retransmissionsSinceResponse = 0;
         backend.load.ejectedUntil = {};
@@ -141,7 +142,44 @@
         [&](uint32_t token) { return m_backends.at(token).entry.state() == backend_state::Ready; }));
 }
 
-placement_criteria backend_pool::criteriaOf(pooled_backend const& backend, monotonic_time now) const
+bool backend_pool::isLimited(pooled_backend const& backend, monotonic_time now) const
+{
+    return now < backend.warmUpEndsAt && m_warmUp.isLimited(backend.entry.announcement.service);
+}
+
+bool backend_pool::hasLimitedServer(std::string const& service, monotonic_time now) const
+{
+    auto const tokens = m_services.find(service);
+    if (tokens == m_services.end() || !m_warmUp.isLimited(service))
+        return false;
+    return std::any_of(tokens->second.begin(), tokens->second.end(), [&](uint32_t token) {
+        auto const& backend = m_backends.at(token);
+        return backend.entry.state() == backend_state::Ready && isLimited(backend, now)
+            && !m_evacuations.zones.contains(backend.entry.announcement.zone);
+    });
+}
+
+std::vector<warming_server> backend_pool::limitedServers(monotonic_time now) const
+{
+    std::vector<warming_server> result;
+    if (!m_warmUp.hasLimits())
+        return result;
+    for (auto const& [token, backend] : m_backends) {
+        if (backend.entry.state() != backend_state::Gone && isLimited(backend, now))
+            result.push_back({ token, backend.entry.announcement.service, backend.load.open + backend.load.opening });
+    }
+    return result;
+}
+
+void backend_pool::setWarmUpEnd(uint32_t token, monotonic_time endsAt, monotonic_time askedAt)
+{
+    auto* const backend = find(token);
+    if (backend && askedAt > backend->warmUpUpdatedAt)
+        backend->warmUpEndsAt = endsAt;
+}
+
+placement_criteria backend_pool::criteriaOf(
+    pooled_backend const& backend, route_importance importance, monotonic_time now) const
 {
     using enum placement_criterion;
     auto const state = backend.entry.state();
@@ -155,8 +193,11 @@
     bool const isResponsive = load.ejectedUntil <= now && !(isEjectionCandidate && load.opening > 0);
     bool const isRecentlyDraining
         = state == backend_state::Draining && now - backend.entry.leavingSince <= m_settings.handshakeTimeout;
+    auto const& announcement = backend.entry.announcement;
+    bool const isPermitted = !m_evacuations.zones.contains(announcement.zone)
+        && (!isLimited(backend, now) || m_warmUp.mayOpen(backend.token, announcement.service, importance, now));
     return placement_criteria::of(Trusted)
-        .addIf(!m_evacuations.zones.contains(backend.entry.announcement.zone), Permitted)
+        .addIf(isPermitted, Permitted)
         .addIf(state == backend_state::Ready, Ready)
         .addIf(isRecentlyDraining, RecentlyDraining)
         .addIf(isAnnounced, Announced)
@@ -213,7 +254,8 @@
     return value + tieBreakCost * randomValue;
 }
 
-pooled_backend* backend_pool::select(std::string const& service, request_kind kind, monotonic_time now)
+pooled_backend* backend_pool::select(
+    std::string const& service, request_kind kind, monotonic_time now, route_importance importance)
 {
     auto const tokens = m_services.find(service);
     if (tokens == m_services.end())
@@ -224,7 +266,7 @@
     double bestCost = 0;
     for (auto const token : tokens->second) {
         auto& backend = m_backends.at(token);
-        auto const level = strictestLevel(criteriaOf(backend, now));
+        auto const level = strictestLevel(criteriaOf(backend, importance, now));
         if (!level || *level > bestLevel)
             continue;
         auto const value = cost(backend, kind, idleWeight, now);
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -9,6 +9,7 @@
 #include <Placement/placement_criteria.h>
 #include <Placement/placement_settings.h>
 #include <Placement/route_table.h>
+#include <Placement/warm_up_budget.h>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -31,6 +32,8 @@
     /// When the server was last listed by drainSuspects().
     monotonic_time suspectedAt;
     monotonic_time warmUpEndsAt;
+    /// When warmUpEndsAt was last taken from a directory entry.
+    monotonic_time warmUpUpdatedAt;
     /// When this balancer received that the server is Gone; only meaningful in that state.
     monotonic_time goneSince;
     backend_load load;
@@ -97,8 +100,22 @@
 
     /// Chooses the server of a new flow. Of the servers that meet the strictest of placementLevels that any server
     /// meets, the one with the lowest cost is chosen.
+    /// @param importance Decides who may use servers that are warming up while they have little budget left.
     /// @return The server, or null when the service has none that accepts flows.
-    pooled_backend* select(std::string const& service, request_kind kind, monotonic_time now);
+    pooled_backend* select(std::string const& service, request_kind kind, monotonic_time now,
+        route_importance importance = route_importance::Higher);
+
+    /// @return Whether the server is warming up and its service limits the requests meanwhile.
+    bool isLimited(pooled_backend const& backend, monotonic_time now) const;
+    /// @return Whether a limited server of the service would accept flows if it had budget left.
+    bool hasLimitedServer(std::string const& service, monotonic_time now) const;
+    /// @return All servers that are limited at present.
+    std::vector<warming_server> limitedServers(monotonic_time now) const;
+    /// Records the end of a warm-up that the control host of the server has reported.
+    /// @param askedAt When it was asked. An older report than the server's directory entry is ignored.
+    void setWarmUpEnd(uint32_t token, monotonic_time endsAt, monotonic_time askedAt);
+    warm_up_budget& warmUp() { return m_warmUp; }
+    warm_up_budget const& warmUp() const { return m_warmUp; }
 
     /// @return Whether a retransmitted handshake packet may still be forwarded to this server.
     bool mayRepeatHandshake(pooled_backend const& backend, monotonic_time now) const;
@@ -143,7 +160,7 @@
 
 private:
     /// @return What placement may rely on for this server.
-    placement_criteria criteriaOf(pooled_backend const& backend, monotonic_time now) const;
+    placement_criteria criteriaOf(pooled_backend const& backend, route_importance importance, monotonic_time now) const;
     double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
     double idleFlowWeight(std::string const& service);
     double slowness(pooled_backend const& backend, monotonic_time now) const;
@@ -155,6 +172,7 @@
 
     placement_settings m_settings;
     overload_control m_overload;
+    warm_up_budget m_warmUp { warm_up_times() };
     std::string m_zone;
     uint64_t m_seed;
     uint64_t m_drawCount = 0;
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -172,12 +172,19 @@
         recordProgress(flow, packet, now);
     auto const isRepeated = packet.purpose == packet_purpose::Continue && recordData(flow, packet, now);
     if (packet.purpose != packet_purpose::Continue) {
+        recordEnd(flow);
         removeFromLoad(flow);
         m_flows.erase(entry);
     }
     return isRepeated ? packet_novelty::Repeated : packet_novelty::New;
 }
 
+void flow_observer::recordEnd(observed_flow const& flow)
+{
+    if (auto const* const backend = m_pool.find(flow.token))
+        m_pool.warmUp().demandOf(backend->entry.announcement.service).recordEnd(flow.requests);
+}
+
 void flow_observer::recordProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now)
 {
     auto* const backend = m_pool.find(flow.token);
@@ -214,6 +221,9 @@
         flow.requestAt = now;
         flow.requestAcknowledgement = packet.acknowledgement;
         changeState(flow, phase::Busy);
+        flow.requests = flow.requests.withRequest(now);
+        if (auto const* const backend = m_pool.find(flow.token))
+            m_pool.warmUp().demandOf(backend->entry.announcement.service).recordRequest(flow.requests);
     }
     return false;
 }
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -85,8 +85,11 @@
         monotonic_time sentAt;
         /// When data was last received, for the first time or again.
         monotonic_time transmittedAt;
+        flow_requests requests;
     };
 
+    /// Records what a flow that ends has caused.
+    void recordEnd(observed_flow const& flow);
     void recordProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now);
     /// @return Whether the caller has sent the data before and still waits for a response.
     bool recordData(observed_flow& flow, caller_packet const& packet, monotonic_time now);
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -23,6 +23,8 @@
         return "no_server";
     case reset_reason::Overloaded:
         return "overloaded";
+    case reset_reason::ServersWarmingUp:
+        return "servers_warming_up";
     case reset_reason::ServerGone:
         return "server_gone";
     case reset_reason::ServerUnresponsive:
@@ -42,6 +44,8 @@
         return "no_configuration";
     case discard_reason::NoDirectory:
         return "no_directory";
+    case discard_reason::ServerWarmingUp:
+        return "server_warming_up";
     }
     return "unknown";
 }
@@ -58,6 +62,7 @@
     if (m_routes && table->version <= m_routes->version)
         return false;
     m_routes = std::move(table);
+    m_pool.warmUp().setLimits(m_routes->services);
     m_lowestPriorities.clear();
     for (auto const& [address, route] : m_routes->routes) {
         for (auto const& target : route.services) {
@@ -85,13 +90,16 @@
     return services.at(route.services.back().service).name;
 }
 
+route_importance token_router::importanceOf(std::string const& service, service_route const& route) const
+{
+    return route.priority >= m_lowestPriorities.at(service) ? route_importance::Least : route_importance::Higher;
+}
+
 bool token_router::isAdmitted(
     caller_packet const& packet, std::string const& service, service_route const& route, monotonic_time now) const
 {
-    bool const isLeastImportant = route.priority >= m_lowestPriorities.at(service);
     auto const callerHash = hashBytes(packet.flowEndpoints.caller.address.bytes, m_seed);
-    return m_pool.overload().admits(
-        service, route, isLeastImportant ? route_importance::Least : route_importance::Higher, callerHash, now);
+    return m_pool.overload().admits(service, route, importanceOf(service, route), callerHash, now);
 }
 
 reset_flow token_router::reset(caller_packet const& packet, reset_reason reason, monotonic_time now)
@@ -119,21 +127,39 @@
     auto* backend = m_pool.find(m_observer.serverTokenOf(packet.flowEndpoints));
     if (!backend || !m_pool.mayRepeatHandshake(*backend, now)) {
         auto const& service = chooseService(route->second);
+        bool const hadServer = backend != nullptr;
         // A caller repeats a handshake packet unless it was refused, so another balancer may have forwarded the flow
         // to a server before. But a refused flow may have repetitions that were sent before the caller was notified.
         bool const mayRefuse = packet.retransmissionCount == 0 || m_observer.isRefused(packet.flowEndpoints);
-        if (!backend && mayRefuse && !isAdmitted(packet, service, route->second, now)) {
+        if (!hadServer && mayRefuse && !isAdmitted(packet, service, route->second, now)) {
             reset_flow const refusal { reset_reason::Overloaded, m_pool.overload().lowerQuartileResponseTime(service),
                 m_observer.observationOf(packet.flowEndpoints, now) };
             m_observer.recordRefusal(packet, now);
             return refusal;
         }
-        backend = m_pool.select(service, route->second.kind, now);
+        auto const importance = importanceOf(service, route->second);
+        backend = m_pool.select(service, route->second.kind, now, importance);
+        if (m_pool.hasLimitedServer(service, now)) {
+            m_pool.warmUp().recordDemand(service);
+            if (!backend && (hadServer || !mayRefuse))
+                return discard_packet { discard_reason::ServerWarmingUp };
+            if (!backend) {
+                m_pool.warmUp().recordRejection(service, importance, now);
+                return reset(packet, reset_reason::ServersWarmingUp, now);
+            }
+        }
+    } else if (m_pool.isLimited(*backend, now)) {
+        auto const& service = backend->entry.announcement.service;
+        m_pool.warmUp().recordDemand(service);
+        if (!m_pool.warmUp().mayOpen(backend->token, service, route_importance::Higher, now))
+            return discard_packet { discard_reason::ServerWarmingUp };
     }
     if (!backend && m_pool.coverage() == directory_coverage::Partial)
         return discard_packet { discard_reason::NoDirectory };
     if (!backend)
         return reset(packet, reset_reason::NoServer, now);
+    if (m_pool.isLimited(*backend, now))
+        m_pool.warmUp().recordOpening(backend->token, backend->entry.announcement.service, now);
     m_observer.recordHandshake(packet, backend->token, now);
     return forwardTo(*backend);
 }
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -17,6 +17,8 @@
     NoServer,
     /// The service is overloaded, and overload control does not admit the flow.
     Overloaded,
+    /// All servers that would accept the flow are warming up, and none has budget left.
+    ServersWarmingUp,
     /// The server has left, or lost its address to another one, and does not respond to a repeated packet.
     ServerGone,
     /// The server does not respond to any caller, and the request may be repeated at another server.
@@ -32,6 +34,9 @@
     NoConfiguration,
     /// No server of the service is known, but the directory is not complete yet.
     NoDirectory,
+    /// A repeated handshake packet for a server that is warming up and has no budget left. The server may have received
+    /// an earlier one, so the flow is neither moved nor reset.
+    ServerWarmingUp,
 };
 
 /// @return A stable name for logs and metrics.
@@ -93,6 +98,7 @@
     /// @return Whether the caller may repeat the request of the packet's flow at another server.
     bool mayRepeatRequest(caller_packet const& packet) const;
     std::string const& chooseService(service_route const& route);
+    route_importance importanceOf(std::string const& service, service_route const& route) const;
     bool isAdmitted(
         caller_packet const& packet, std::string const& service, service_route const& route, monotonic_time now) const;
 
