--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -37,6 +37,7 @@
     inline constexpr log_event serverEjected { 204, log_severity::Warning, "server_ejected" };
     inline constexpr log_event linesSuppressed { 205, log_severity::Warning, "lines_suppressed" };
     inline constexpr log_event evacuationInForce { 206, log_severity::Information, "evacuation_in_force" };
+    inline constexpr log_event warmUpLimitReached { 210, log_severity::Warning, "warm_up_limit_reached" };
     inline constexpr log_event tableChanged { 300, log_severity::Information, "table_changed" };
     inline constexpr log_event serverJoined { 400, log_severity::Information, "server_joined" };
     inline constexpr log_event serverLeaseExpired { 401, log_severity::Warning, "server_lease_expired" };
@@ -50,6 +51,7 @@
     inline constexpr log_event serversLate { 409, log_severity::Warning, "servers_late" };
     inline constexpr log_event peerMessageRefused { 410, log_severity::Warning, "peer_message_refused" };
     inline constexpr log_event serverDisplaced { 411, log_severity::Information, "server_displaced" };
+    inline constexpr log_event warmUpBudgetShared { 412, log_severity::Information, "warm_up_budget_shared" };
     inline constexpr log_event configurationInForce { 500, log_severity::Information, "configuration_in_force" };
     inline constexpr log_event configurationRefused { 501, log_severity::Error, "configuration_refused" };
     inline constexpr log_event configurationNotSaved { 502, log_severity::Warning, "configuration_not_saved" };
--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -4,6 +4,7 @@
 #include <Membership/announcement_check.h>
 #include <Messages/fleet.pb.h>
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace bilberryyard {
@@ -246,6 +247,14 @@
             update.add_services(service.name);
             update.add_maximum_connections(service.maximumConnections);
         }
+        bool const hasLimit = std::any_of(message.services.begin(), message.services.end(),
+            [](routed_service const& service) { return service.coldRequestsPerSecond > 0; });
+        for (auto const& service : message.services) {
+            if (!hasLimit)
+                break;
+            update.add_cold_duration_ms(toMilliseconds(service.coldDuration));
+            update.add_cold_requests_per_second(service.coldRequestsPerSecond);
+        }
         for (auto const& [address, route] : message.routes) {
             auto& record = *update.add_routes();
             record.set_address(address.address.toIpv4());
@@ -276,6 +285,28 @@
 
     void write(wire::FleetMessage& target, control_envelope const& message) { target.set_control(message.bytes); }
 
+    void write(wire::FleetMessage& target, warm_up_request const& message)
+    {
+        auto& request = *target.mutable_warm_up_request();
+        request.set_number(message.number);
+        for (auto const& server : message.servers) {
+            request.add_tokens(server.token);
+            request.add_wanted(server.wanted);
+            request.add_open_flow_requests(server.openFlowRequests);
+        }
+    }
+
+    void write(wire::FleetMessage& target, warm_up_grants const& message)
+    {
+        auto& grants = *target.mutable_warm_up_grants();
+        grants.set_number(message.number);
+        for (auto const& server : message.servers) {
+            grants.add_tokens(server.token);
+            grants.add_requests(server.requests);
+            grants.add_remaining_ms(toMilliseconds(server.remaining));
+        }
+    }
+
     void write(wire::FleetMessage& target, join_request const& message)
     {
         write(*target.mutable_join()->mutable_host(), message.host);
@@ -440,8 +471,19 @@
         route_table result;
         result.version = source.version();
         result.idleTimeout = milliseconds(source.idle_timeout_ms());
-        for (int index = 0; index < source.services_size(); ++index)
+        auto const limits = source.cold_duration_ms_size();
+        if (limits != source.cold_requests_per_second_size() || (limits != 0 && limits != source.services_size()))
+            return makeError(error_kind::InvalidArgument, "the numbers of services and warm-up limits differ");
+        for (int index = 0; index < source.services_size(); ++index) {
             result.services.push_back({ source.services(index), source.maximum_connections(index) });
+            if (limits == 0)
+                continue;
+            auto const rate = source.cold_requests_per_second(index);
+            if (!std::isfinite(rate) || rate < 0)
+                return makeError(error_kind::InvalidArgument, "a warm-up limit is negative or not a number");
+            result.services.back().coldDuration = milliseconds(source.cold_duration_ms(index));
+            result.services.back().coldRequestsPerSecond = rate;
+        }
         for (auto const& record : source.routes()) {
             auto const port = toPort(record.port());
             if (!port.ok())
@@ -454,6 +496,27 @@
         return result;
     }
 
+    absl::StatusOr<fleet_message> read(wire::WarmUpRequest const& source)
+    {
+        if (source.wanted_size() != source.tokens_size() || source.open_flow_requests_size() != source.tokens_size())
+            return makeError(error_kind::InvalidArgument, "the numbers of servers and of their demands differ");
+        warm_up_request result { source.number(), {} };
+        for (int index = 0; index < source.tokens_size(); ++index)
+            result.servers.push_back({ source.tokens(index), source.wanted(index), source.open_flow_requests(index) });
+        return result;
+    }
+
+    absl::StatusOr<fleet_message> read(wire::WarmUpGrants const& source)
+    {
+        if (source.requests_size() != source.tokens_size() || source.remaining_ms_size() != source.tokens_size())
+            return makeError(error_kind::InvalidArgument, "the numbers of servers and of their grants differ");
+        warm_up_grants result { source.number(), {} };
+        for (int index = 0; index < source.tokens_size(); ++index)
+            result.servers.push_back(
+                { source.tokens(index), source.requests(index), milliseconds(source.remaining_ms(index)) });
+        return result;
+    }
+
     absl::StatusOr<fleet_message> read(wire::RouteDifference const& source)
     {
         if (source.removed_addresses_size() != source.removed_ports_size())
@@ -511,6 +574,10 @@
         auto const& zones = source.evacuated_zones().zones();
         return evacuated_zones { source.evacuated_zones().revision(), { zones.begin(), zones.end() } };
     }
+    case wire::FleetMessage::kWarmUpRequest:
+        return read(source.warm_up_request());
+    case wire::FleetMessage::kWarmUpGrants:
+        return read(source.warm_up_grants());
     case wire::FleetMessage::kControl:
         return control_envelope { source.control() };
     case wire::FleetMessage::kJoin: {
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -4,6 +4,7 @@
 #include <Membership/evacuated_zones.h>
 #include <Placement/route_difference.h>
 #include <Placement/route_table.h>
+#include <Placement/warm_up_limit.h>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -223,6 +224,7 @@
 };
 
 using fleet_message = std::variant<hello_message, hello_response, directory_update, route_table, control_envelope,
-    join_request, directory_request, directory_page, age_request, age_response, route_difference, evacuated_zones>;
+    join_request, directory_request, directory_page, age_request, age_response, route_difference, evacuated_zones,
+    warm_up_request, warm_up_grants>;
 
 } // namespace bilberryyard
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -131,6 +131,16 @@
         m_logger.emit(events::evacuationInForce, toText(message) + " from=" + link.name);
 }
 
+void balancer_control::handle(ip_endpoint const& sender, warm_up_grants const& message, monotonic_time now)
+{
+    m_links[sender].lastSeenAt = now;
+    auto const askedAt = m_router.pool().warmUp().receive(message, now);
+    if (!askedAt)
+        return;
+    for (auto const& server : message.servers)
+        m_router.pool().setWarmUpEnd(server.token, now + server.remaining, *askedAt);
+}
+
 void balancer_control::applyChanges(
     ip_endpoint const& sender, directory_view::changes const& changes, server_lines lines, monotonic_time now)
 {
@@ -328,6 +338,20 @@
     }
 }
 
+void balancer_control::sendWarmUpRequests(monotonic_time now)
+{
+    auto& warmUp = m_router.pool().warmUp();
+    if (!warmUp.hasLimits() || !warmUp.isRequestDue(now))
+        return;
+    std::map<ip_endpoint, std::vector<warm_up_demand>> demands;
+    for (auto const& demand : warmUp.makeDemands(m_router.pool().limitedServers(now), now)) {
+        if (auto const* const announcer = m_directory.view().announcerOf(demand.token))
+            demands[*announcer].push_back(demand);
+    }
+    for (auto& [peer, servers] : demands)
+        m_channel.send(peer, warmUp.makeRequest(std::move(servers), now));
+}
+
 size_t balancer_control::reachableControlCount(monotonic_time now) const
 {
     return static_cast<size_t>(
@@ -354,6 +378,7 @@
 void balancer_control::step(monotonic_time now)
 {
     sendAgeRequests(now);
+    sendWarmUpRequests(now);
     m_directory.step(now);
     requestPage(now);
     if (now < m_helloSentAt + helloPeriod(now))
@@ -396,6 +421,8 @@
     auto deadline = std::min(m_helloSentAt + helloPeriod(now), m_directory.nextDeadline());
     if (!m_hasDirectory && !m_fetch.isComplete() && m_fetch.requestsSincePage() > 0)
         deadline = std::min(deadline, m_fetch.nextRequestAt());
+    if (m_router.pool().warmUp().hasLimits())
+        deadline = std::min(deadline, m_router.pool().warmUp().nextRequestAt());
     return deadline;
 }
 
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -69,6 +69,8 @@
     void handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, age_response const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, evacuated_zones const& message, monotonic_time now);
+    void handle(ip_endpoint const&, warm_up_request const&, monotonic_time) { }
+    void handle(ip_endpoint const& sender, warm_up_grants const& message, monotonic_time now);
     void sendHello(monotonic_time now);
     void sendHello(ip_endpoint const& peer, host_list hosts, server_scope servers, route_request routes);
     duration helloPeriod(monotonic_time now) const;
@@ -94,6 +96,8 @@
     void applyDisplacements(directory_view::changes const& changes, monotonic_time now);
     void logLateServers(ip_endpoint const& sender, directory_view::changes const& changes, monotonic_time now);
     void sendAgeRequests(monotonic_time now);
+    /// Requests grants for servers that are warming up of the control hosts that they announce themselves to.
+    void sendWarmUpRequests(monotonic_time now);
     void expireLinks(monotonic_time now);
 
     fleet_settings m_settings;
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -87,6 +87,8 @@
     /// @return What the decision to reset the flow was based on, for a log line.
     std::string evidenceOf(caller_packet const& packet, reset_flow const& reset, monotonic_time now);
     void maintain(monotonic_time now);
+    /// Updates metrics and logs what was rejected for the sake of servers that are warming up.
+    void maintainWarmUp(monotonic_time now);
 
     fleet_settings m_settings;
     seed_source m_seedSource;
@@ -209,7 +211,8 @@
         auto const packet = room.first(datagram.size);
         auto const decoded = Format::parse(packet);
         if (decoded)
-            forward(packet, *decoded, now);
+            // A grant may have ended while earlier packets were forwarded, or while the process was suspended.
+            forward(packet, *decoded, decoded->purpose == packet_purpose::Open ? bootTime() : now);
         else
             m_metrics.counter("packets_unreadable_total").add();
     }
@@ -306,6 +309,22 @@
     m_packets.send({ packet.flowEndpoints.caller.address, m_settings.packetEndpoint->port }, Format::makeReset(packet));
 }
 
+template <packet_format Format>
+void balancer_service<Format>::maintainWarmUp(monotonic_time now)
+{
+    auto& warmUp = m_router.pool().warmUp();
+    if (!warmUp.hasLimits())
+        return;
+    auto const warming = m_router.pool().limitedServers(now).size();
+    for (auto const& [service, count] : warmUp.drainRejections())
+        m_logger.emit(events::warmUpLimitReached,
+            "service=" + service + " rejected=" + std::to_string(count) + " warming=" + std::to_string(warming)
+                + " granted=" + std::to_string(warmUp.grantedCount()) + " used=" + std::to_string(warmUp.usedCount()));
+    m_metrics.setGauge("balancer_servers_warming_up", static_cast<double>(warming));
+    m_metrics.setGauge("balancer_warm_up_requests_granted", static_cast<double>(warmUp.grantedCount()));
+    m_metrics.setGauge("balancer_warm_up_flows_placed", static_cast<double>(warmUp.usedCount()));
+}
+
 template <packet_format Format>
 void balancer_service<Format>::maintain(monotonic_time now)
 {
@@ -323,6 +342,7 @@
     }
     for (auto const sample : m_router.pool().drainResponseTimes())
         m_metrics.distribution("backend_response_seconds").add(sample);
+    maintainWarmUp(now);
     m_metrics.setGauge("balancer_evacuated_zones", static_cast<double>(m_router.pool().evacuations().zones.size()));
     m_metrics.setGauge("balancer_configuration_version", static_cast<double>(m_router.version()));
     m_metrics.setGauge("balancer_backends", static_cast<double>(m_router.pool().size()));
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -93,6 +93,7 @@
     , m_announcementLines(announcementLinesPerSecond)
     , m_hosts({ settings.address, settings.peerPort })
     , m_feed({}, randomNonZeroEpoch())
+    , m_warmUp(settings)
     , m_otherServers(settings.zone,
           [this](ip_endpoint const& receiver, fleet_message const& message) { m_channel.send(receiver, message); })
     , m_group(
@@ -120,6 +121,8 @@
             error_kind::InvalidArgument, "the " + std::string(nameOf(defect)) + " of the server cannot be used");
     }
     auto const effect = m_feed.announce(announcement, bootTime());
+    if (effect != announcement_effect::Ignored && effect != announcement_effect::Deferred)
+        m_warmUp.recordAnnouncement(announcement, bootTime());
     m_metrics.counter("announcements_total").add();
     if (effect == announcement_effect::Deferred)
         logUnusable(announcement, "unconfigured_service");
@@ -290,6 +293,7 @@
     if (now - m_maintainedAt >= maintenanceInterval) {
         m_maintainedAt = now;
         m_feed.expire(now);
+        m_warmUp.maintain(m_metrics, now);
         for (auto const& id : m_otherServers.view().expire(now))
             m_feed.forgetElsewhere(id);
         std::erase_if(m_fullDirectorySentAt, [&](auto const& item) { return now - item.second > hostExpiry; });
@@ -452,6 +456,12 @@
     m_group.receive(*decoded, sender, now);
 }
 
+void control_service::handle(ip_endpoint const& sender, warm_up_request const& message, monotonic_time now)
+{
+    if (auto grants = m_warmUp.grant(sender, message, now); !grants.servers.empty())
+        m_channel.send(sender, std::move(grants));
+}
+
 void control_service::handle(ip_endpoint const&, join_request const& message, monotonic_time now)
 {
     m_group.receive(message, now);
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -9,6 +9,7 @@
 #include "known_hosts.h"
 #include "peer_channel.h"
 #include "route_history.h"
+#include "warm_up_control.h"
 
 #include <Base/line_budget.h>
 #include <Kernel/bounded_mailbox.h>
@@ -103,6 +104,8 @@
     void handle(ip_endpoint const&, route_table const&, monotonic_time) { }
     void handle(ip_endpoint const&, route_difference const&, monotonic_time) { }
     void handle(ip_endpoint const&, evacuated_zones const&, monotonic_time) { }
+    void handle(ip_endpoint const& sender, warm_up_request const& message, monotonic_time now);
+    void handle(ip_endpoint const&, warm_up_grants const&, monotonic_time) { }
 
     void sendHellos(monotonic_time now);
     void publishDirectory(monotonic_time now);
@@ -162,6 +165,7 @@
     known_hosts m_hosts;
     host_list_rotation m_hostListRotation;
     directory_feed m_feed;
+    warm_up_control m_warmUp;
     /// Servers reported by other control hosts or restored from an earlier incarnation of this one. Balancers normally
     /// receive them from those hosts; this copy serves a balancer that starts while they are down.
     directory_subscription m_otherServers;
--- a/Services/Fleet/control_service_directory.cpp
+++ b/Services/Fleet/control_service_directory.cpp
@@ -110,6 +110,7 @@
 
 void control_service::setServices(route_table const& routes, monotonic_time now)
 {
+    m_warmUp.setServices(routes.services);
     std::set<std::string> services;
     for (auto const& service : routes.services)
         services.insert(service.name);
@@ -122,7 +123,7 @@
     auto const& view = m_otherServers.view();
     for (auto const& id : changes.changed) {
         if (auto const* const entry = view.directory().find(id))
-            m_feed.recordElsewhere(entry->announcement);
+            m_feed.recordElsewhere(entry->announcement, entry->warmUpEndsAt);
     }
     for (auto const& [token, liveness] : changes.renewed) {
         auto const* const id = view.findId(token);
--- a/Services/Fleet/directory_view.cpp
+++ b/Services/Fleet/directory_view.cpp
@@ -258,6 +258,18 @@
         && server->second.announcer == feed->second.lease;
 }
 
+ip_endpoint const* directory_view::announcerOf(uint32_t token) const
+{
+    auto const server = m_servers.find(token);
+    if (server == m_servers.end() || !server->second.announcer)
+        return nullptr;
+    for (auto const& [peer, feed] : m_feeds) {
+        if (feed.lease == server->second.announcer)
+            return &peer;
+    }
+    return nullptr;
+}
+
 std::string const* directory_view::findId(uint32_t token) const
 {
     auto const server = m_servers.find(token);
--- a/Services/Fleet/directory_view.h
+++ b/Services/Fleet/directory_view.h
@@ -76,6 +76,9 @@
     /// @return All servers for a directory page. Their announcers are added to `positions`.
     std::vector<page_record> records(std::vector<feed_position>& positions, monotonic_time now) const;
 
+    /// @return The control host that the server announces itself to; nullptr if it is unknown.
+    ip_endpoint const* announcerOf(uint32_t token) const;
+
 private:
     struct announcer_feed {
         position received;
--- a/Tests/Fleet/test_fleet_codec.cpp
+++ b/Tests/Fleet/test_fleet_codec.cpp
@@ -45,6 +45,14 @@
     return page;
 }
 
+route_table limitedRoutes()
+{
+    auto table = sampleRoutes();
+    table.services[0].coldDuration = milliseconds(8'000);
+    table.services[0].coldRequestsPerSecond = 2.5;
+    return table;
+}
+
 struct message_row {
     char const* name;
     fleet_message message;
@@ -72,6 +80,9 @@
         hello_message { host, 7, 99, 12, host_list::NotRequested, server_scope::Own, route_request::Requested } },
     { "route difference", route_difference { 5, sampleRoutes(), { { ip_address::fromIpv4(0xc6120002), 80 } } } },
     { "routes", sampleRoutes() },
+    { "routes with a warm-up limit", limitedRoutes() },
+    { "request for grants", warm_up_request { 9, { { 1, 3, 0 }, { 0xffffffff, 0, 2 } } } },
+    { "grants", warm_up_grants { 9, { { 1, 2, milliseconds(8'000) }, { 0xffffffff, 0, {} } } } },
     { "consensus message", control_envelope { std::string("\0\x01\xff", 3) } },
     { "hello that knows evacuated zones",
         hello_message { host, 7, 99, 12, host_list::NotRequested, server_scope::Own, route_request::NotRequested, 3 } },
