Fleet: Report the use of a balancer's link

Cause: it was not visible at which queue packets wait during a burst of uploads. Limits.LinkMbps of the settings is read and checked; a line a second when packets use a quarter of the link in one direction, and counters of bytes and of repeated packets.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -20,6 +20,7 @@
         events::serverEjected,
         events::linesSuppressed,
         events::evacuationInForce,
+        events::linkLoaded,
         events::tableChanged,
         events::serverJoined,
         events::serverLeaseExpired,
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    forward_packet forwardTo(pooled_backend const& backend)
+    forward_packet forwardTo(pooled_backend const& backend, packet_novelty novelty = packet_novelty::New)
     {
-        return { backend.token, backend.entry.announcement.tag, backend.entry.announcement.address };
+        return { backend.token, backend.entry.announcement.tag, backend.entry.announcement.address, novelty };
     }
 
 } // namespace
@@ -165,7 +165,7 @@
     }
     if (novelty == packet_novelty::Repeated && mayRepeatRequest(packet) && m_pool.isPresumedDead(*backend, now))
         return reset(packet, reset_reason::ServerUnresponsive, now);
-    return forwardTo(*backend);
+    return forwardTo(*backend, novelty);
 }
 
 void token_router::sweep(monotonic_time now)
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -43,6 +43,8 @@
     /// Identifies the server in the forwarded datagram.
     uint64_t tag = 0;
     ip_endpoint address;
+    /// Repeated for data that the caller has sent before.
+    packet_novelty novelty = packet_novelty::New;
     auto operator<=>(forward_packet const&) const = default;
 };
 
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -53,6 +53,8 @@
     static constexpr duration flushInterval = std::chrono::milliseconds(50);
     /// Limits log lines about flows, because writing a line costs about as much as forwarding a packet.
     static constexpr uint32_t flowLinesPerSecond = 100;
+    /// The use of the link is logged from this share of its rate in one direction.
+    static constexpr double reportedLinkShare = 0.25;
     static constexpr duration sweepInterval = std::chrono::milliseconds(500);
     /// Until routes and servers are known, packets stay in the socket buffer for up to this long after the start.
     /// Callers do not retransmit opening packets for longer.
@@ -87,6 +89,8 @@
     /// @return What the decision to reset the flow was based on, for a log line.
     std::string evidenceOf(caller_packet const& packet, reset_flow const& reset, monotonic_time now);
     void maintain(monotonic_time now);
+    /// Reports the use of the link since the last call, about once a second.
+    void reportLink(monotonic_time now);
 
     fleet_settings m_settings;
     seed_source m_seedSource;
@@ -101,6 +105,17 @@
     monotonic_time m_startedAt;
     monotonic_time m_sweptAt;
     monotonic_time m_flushedAt;
+    /// Use of the link since it was last reported.
+    struct link_use {
+        uint64_t receivedBytes = 0;
+        uint64_t sentBytes = 0;
+        uint64_t receivedPackets = 0;
+        uint64_t repeatedPackets = 0;
+        /// Most packets that were waiting in the socket at once.
+        int largestBatch = 0;
+    };
+    link_use m_linkUse;
+    monotonic_time m_linkReportedAt;
     line_budget m_flowLineBudget { flowLinesPerSecond };
     std::array<uint8_t, Format::prefixBytes + maximumPacketBytes> m_buffer {};
 };
@@ -207,12 +222,15 @@
     int count = 0;
     for (; count < packetsPerStep && m_packets.receive(room, datagram); ++count) {
         auto const packet = room.first(datagram.size);
+        m_linkUse.receivedBytes += datagram.size;
+        ++m_linkUse.receivedPackets;
         auto const decoded = Format::parse(packet);
         if (decoded)
             forward(packet, *decoded, now);
         else
             m_metrics.counter("packets_unreadable_total").add();
     }
+    m_linkUse.largestBatch = std::max(m_linkUse.largestBatch, count);
     return count;
 }
 
@@ -227,6 +245,9 @@
         }
         std::span<uint8_t, Format::prefixBytes> const prefix(m_buffer.data(), Format::prefixBytes);
         Format::writePrefix(prefix, target->tag);
+        m_linkUse.sentBytes += Format::prefixBytes + packet.size();
+        if (target->novelty == packet_novelty::Repeated)
+            ++m_linkUse.repeatedPackets;
         m_packets.send(
             target->address, { reinterpret_cast<char const*>(m_buffer.data()), Format::prefixBytes + packet.size() });
         return;
@@ -306,11 +327,32 @@
     m_packets.send({ packet.flowEndpoints.caller.address, m_settings.packetEndpoint->port }, Format::makeReset(packet));
 }
 
+template <packet_format Format>
+void balancer_service<Format>::reportLink(monotonic_time now)
+{
+    auto const elapsed = std::chrono::duration<double>(now - m_linkReportedAt).count();
+    if (elapsed < 1)
+        return;
+    auto const use = std::exchange(m_linkUse, {});
+    m_linkReportedAt = now;
+    m_metrics.counter("link_received_bytes_total").add(use.receivedBytes);
+    m_metrics.counter("link_sent_bytes_total").add(use.sentBytes);
+    m_metrics.counter("packets_repeated_total").add(use.repeatedPackets);
+    auto const rate = static_cast<double>(m_settings.linkBytesPerSecond) * elapsed;
+    if (rate <= 0 || static_cast<double>(std::max(use.receivedBytes, use.sentBytes)) < reportedLinkShare * rate)
+        return;
+    std::ostringstream line;
+    line << "received=" << use.receivedBytes << " sent=" << use.sentBytes << " rate=" << static_cast<uint64_t>(rate)
+         << " packets=" << use.receivedPackets << " repeated=" << use.repeatedPackets << " batch=" << use.largestBatch;
+    m_logger.emit(events::linkLoaded, line.str());
+}
+
 template <packet_format Format>
 void balancer_service<Format>::maintain(monotonic_time now)
 {
     m_sweptAt = now;
     m_router.sweep(now);
+    reportLink(now);
     if (auto const seeds = m_seedSource()) {
         m_control.setSeeds(*seeds);
         m_logger.emit(events::settingsReloaded, "seeds=" + std::to_string(seeds->size()));
--- a/Services/Fleet/fleet_settings.h
+++ b/Services/Fleet/fleet_settings.h
@@ -47,6 +47,8 @@
     uint32_t toleratedLosses = 1;
     /// How often backend servers announce themselves.
     duration announcementInterval = std::chrono::seconds(1);
+    /// Rate of the host's link; 0 if unknown.
+    uint64_t linkBytesPerSecond = 0;
     /// Time from the request to stop until the process is killed.
     duration terminationGrace = std::chrono::seconds(6);
     auto operator<=>(fleet_settings const&) const = default;
--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -240,6 +240,8 @@
 Unknown = "ignored"
 [Listen]
 Control = "10.1.0.12:8166"
+[Limits]
+LinkMbps = 5.3
 [FaultTolerance]
 Machines = 2
 [Bounds]
@@ -256,6 +258,15 @@
     BOOST_TEST(settings->peerPort == 7'720);
     BOOST_TEST(settings->seeds.size() == 2u);
     BOOST_CHECK(settings->announcementInterval == std::chrono::milliseconds(770));
+    BOOST_TEST(settings->linkBytesPerSecond == 662'500U);
+}
+
+// Hosts without a stated rate are served without a limit, as before.
+BOOST_AUTO_TEST_CASE(link_rate_is_optional)
+{
+    auto const settings = readBootSettings(replaced(settingsText, "LinkMbps = 5.3", ""));
+    BOOST_REQUIRE(settings.ok());
+    BOOST_TEST(settings->linkBytesPerSecond == 0U);
 }
 
 body_row const settingsRows[] = {
@@ -268,6 +279,11 @@
     { "no listener", "[Listen]", "[Silent]" },
     { "no data folder", "DataDir", "DataTent" },
     { "interval out of range", "770", "0" },
+    { "link rate 0", "5.3", "0" },
+    { "negative link rate", "5.3", "-5.3" },
+    { "link rate that is not a number", "5.3", "\"5.3\"" },
+    { "link rate nan", "5.3", "nan" },
+    { "link rate out of range", "5.3", "1e7" },
     { "not TOML", "Node = ", "Node = = " },
     { "no key in a table's header", "[Listen]", "[))" },
     { "bytes that are not ASCII", "Unknown", "\xc3\xbcnknown" },
