Placement: Read the progress of uploads from their packets

Cause: a flow sends up to a hundred packets before its first response. The response time began with the first packet, a repeated window counted as up to 16 retransmissions and ejected the server, responses early in an upload hid a server that stopped responding later, data beyond the window was not taken as an acknowledgement, and uploads left the zone at the cost of small requests.

--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -208,7 +208,7 @@
     auto const slots = std::max<uint32_t>(backend.entry.announcement.slots, 1);
     auto value = requests / slots * slowness(backend, now);
     if (backend.entry.announcement.zone != m_zone)
-        value += kind == request_kind::Download ? m_settings.remoteZoneDownloadCost : m_settings.remoteZoneCost;
+        value += isLargeTransfer(kind) ? m_settings.remoteZoneTransferCost : m_settings.remoteZoneCost;
     auto const randomValue = static_cast<double>(hashPair(m_seed, ++m_drawCount) % 1024) / 1024;
     return value + tieBreakCost * randomValue;
 }
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -94,7 +94,7 @@
     observed_flow flow;
     flow.token = token;
     flow.state = state;
-    flow.openedAt = flow.lastPacketAt = flow.requestAt = flow.sentAt = flow.transmittedAt = now;
+    flow.openedAt = flow.lastPacketAt = flow.sentAt = flow.transmittedAt = now;
     flow.sentEnd = nextSequence;
     addToLoad(flow);
     return flow;
@@ -189,8 +189,9 @@
     if (!backend)
         return;
     m_pool.recordAcknowledgement(*backend, now);
+    // Measured from the end of the request: the time that the caller takes to send it is not the server's.
     if (isResponse)
-        m_pool.recordResponseTime(*backend, now - flow.requestAt, now);
+        m_pool.recordResponseTime(*backend, now - flow.sentAt, now);
 }
 
 bool flow_observer::recordData(observed_flow& flow, caller_packet const& packet, monotonic_time now)
@@ -201,20 +202,30 @@
     if (!isAfter(end, flow.sentEnd)) {
         if (flow.state != phase::Busy || now - flow.sentAt < m_settings.minimumRetransmissionDelay)
             return false;
+        // A caller repeats all packets of its window at once, in their order; they count as one retransmission.
+        auto const previousSequence = std::exchange(flow.repeatedSequence, packet.sequence);
+        if (previousSequence && isAfter(packet.sequence, *previousSequence))
+            return true;
         auto const previouslyAt = std::exchange(flow.transmittedAt, now);
         if (auto* const backend = m_pool.find(flow.token)) {
-            m_pool.recordRetransmission(*backend, flow.requestAt, now);
+            m_pool.recordRetransmission(*backend, flow.sentAt, now);
             m_pool.recordUnansweredData(*backend, previouslyAt);
         }
         return true;
     }
     flow.sentEnd = end;
     flow.sentAt = flow.transmittedAt = now;
+    flow.repeatedSequence.reset();
     if (flow.state == phase::Idle) {
-        flow.requestAt = now;
+        flow.requestPackets = 0;
         flow.requestAcknowledgement = packet.acknowledgement;
         changeState(flow, phase::Busy);
     }
+    // The caller sends data beyond its window only when the server has acknowledged earlier data.
+    if (++flow.requestPackets > m_settings.callerWindowPackets) {
+        if (auto* const backend = m_pool.find(flow.token))
+            m_pool.recordAcknowledgement(*backend, now);
+    }
     return false;
 }
 
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -2,6 +2,7 @@
 
 #include <Placement/backend_pool.h>
 #include <Placement/caller_packet.h>
+#include <optional>
 #include <unordered_map>
 
 namespace bilberryyard {
@@ -76,7 +77,10 @@
         phase state = phase::Opening;
         monotonic_time openedAt;
         monotonic_time lastPacketAt;
-        monotonic_time requestAt;
+        /// Packets of the request, without repeated ones.
+        uint32_t requestPackets = 0;
+        /// Sequence number of the latest repeated packet since sentAt.
+        std::optional<uint32_t> repeatedSequence;
         /// Acknowledgement number of the packet that began the request.
         uint32_t requestAcknowledgement = 0;
         /// Sequence number after the last byte that the caller has sent.
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -57,6 +57,8 @@
     /// a longer time without any retransmission, the earlier ones belong to an outage that has ended and say nothing
     /// about the server.
     duration maximumRetransmissionInterval = std::chrono::milliseconds(2'000);
+    /// Packets that a caller sends without an acknowledgement.
+    uint32_t callerWindowPackets = 16;
     /// Retransmissions without any response after which a server is ejected. A single one may be a lost packet.
     uint32_t ejectionRetransmissions = 2;
     duration initialEjectionDuration = std::chrono::milliseconds(1'000);
@@ -72,9 +74,9 @@
     double idleFlowGain = 0.01;
     /// Additional cost of a server in another availability zone, in requests per slot.
     double remoteZoneCost = 0.7;
-    /// The same for downloads. It is higher because transferring their data between zones costs more than a short
-    /// delay.
-    double remoteZoneDownloadCost = 1.5;
+    /// The same for downloads and uploads. It is higher because transferring their data between zones costs more than a
+    /// short delay.
+    double remoteZoneTransferCost = 1.5;
     /// Lower bound of a server's slowness during its warm-up.
     double warmUpSlowness = 1.6;
     /// Weight of a new sample of a server's relative response time.
--- a/Libraries/Placement/route_table.h
+++ b/Libraries/Placement/route_table.h
@@ -27,6 +27,12 @@
     return kind == request_kind::Idempotent || kind == request_kind::Download;
 }
 
+/// @return Whether the bytes of a request or of its response cost more on the way than a short delay.
+constexpr bool isLargeTransfer(request_kind kind)
+{
+    return kind == request_kind::Download || kind == request_kind::Upload;
+}
+
 struct weighted_service {
     /// Index into route_table::services.
     uint32_t service = 0;
