Placement: Refuse uploads that a balancer's link cannot carry

Cause: packets wait on the link in of a balancer when the windows of its uploads need longer there than callers wait before they repeat a packet; the queue then grows by the repetitions and holds up all other flows. New flows of upload routes are reset at the handshake (link_full) while the windows of the open ones fill what the link carries within that time. Only with a rate in the settings.

--- a/Libraries/Placement/link_budget.cpp
+++ b/Libraries/Placement/link_budget.cpp
@@ -26,14 +26,12 @@
     return static_cast<uint64_t>(rate * seconds(m_limits.retransmissionInterval));
 }
 
-uint32_t link_budget::reservationAfter(ip_endpoint const& service, uint32_t receivedBytes) const
+uint32_t link_budget::usualReservation(ip_endpoint const& service) const
 {
     auto const size = m_requestBytes.find(service);
     if (size == m_requestBytes.end())
         return windowBytes();
-    // At least one packet until the response shows that the request is complete.
-    auto const remaining = std::max(size->second - receivedBytes, static_cast<double>(m_limits.packetBytes));
-    return static_cast<uint32_t>(std::min(remaining, static_cast<double>(windowBytes())));
+    return static_cast<uint32_t>(std::clamp<double>(size->second, m_limits.packetBytes, windowBytes()));
 }
 
 bool link_budget::admits(flow_endpoints const& flow, monotonic_time now)
@@ -45,7 +43,7 @@
     if (m_flows.empty())
         return true;
     auto const total = room();
-    if (m_bytesOnTheWay + reservationAfter(flow.service, 0) > total)
+    if (m_bytesOnTheWay + usualReservation(flow.service) > total)
         return false;
     auto const ofCaller = m_bytesOfCallers.find(flow.caller.address);
     return ofCaller == m_bytesOfCallers.end() || ofCaller->second <= total - m_bytesOnTheWay;
@@ -73,8 +71,9 @@
         return;
     auto& entry = m_flows[flow];
     entry.lastPacketAt = now;
+    entry.isComplete = true;
     if (!entry.firstSequence)
-        reserve(flow, entry, reservationAfter(flow.service, 0));
+        reserve(flow, entry, usualReservation(flow.service));
 }
 
 void link_budget::recordPacket(caller_packet const& packet, monotonic_time now)
@@ -97,7 +96,7 @@
     // The caller acknowledges the response, so the request is complete.
     bool const isAnswered
         = state.firstSequence && static_cast<int32_t>(packet.acknowledgement - state.acknowledgement) > 0;
-    if (isAnswered) {
+    if (isAnswered && state.isComplete) {
         auto const size = static_cast<double>(state.receivedBytes);
         auto const [mean, isFirst] = m_requestBytes.emplace(packet.flowEndpoints.service, size);
         if (!isFirst)
@@ -110,11 +109,12 @@
     if (packet.payloadBytes == 0)
         return;
     auto const received = packet.sequence + packet.payloadBytes - *state.firstSequence;
-    // A repeated packet does not change what is missing.
-    if (static_cast<int32_t>(received - state.receivedBytes) <= 0)
-        return;
-    state.receivedBytes = received;
-    reserve(packet.flowEndpoints, state, reservationAfter(packet.flowEndpoints.service, received));
+    // Not for a repeated packet.
+    if (static_cast<int32_t>(received - state.receivedBytes) > 0)
+        state.receivedBytes = received;
+    // More than a usual request may be a full window again.
+    reserve(packet.flowEndpoints, state,
+        std::min(std::max(usualReservation(packet.flowEndpoints.service), state.receivedBytes), windowBytes()));
 }
 
 void link_budget::recordTraffic(size_t bytes, monotonic_time now)
--- a/Libraries/Placement/link_budget.h
+++ b/Libraries/Placement/link_budget.h
@@ -66,12 +66,15 @@
         uint32_t receivedBytes = 0;
         uint32_t acknowledgement = 0;
         uint32_t reservedBytes = 0;
+        /// Whether the request has been seen from its first byte.
+        bool isComplete = false;
     };
     using flow_map = std::unordered_map<flow_endpoints, bulk_flow>;
 
     uint32_t windowBytes() const { return m_limits.windowPackets * m_limits.packetBytes; }
-    /// @return Wire bytes that a flow may have on the way after some bytes of its request.
-    uint32_t reservationAfter(ip_endpoint const& service, uint32_t receivedBytes) const;
+    /// @return Bytes that a flow may have on the way until its response. Sizes vary, so a request that has sent as much
+    ///     as usual may still have a full window to send.
+    uint32_t usualReservation(ip_endpoint const& service) const;
     void reserve(flow_endpoints const& endpoints, bulk_flow& flow, uint32_t bytes);
     flow_map::iterator end(flow_map::iterator flow);
 
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -105,6 +105,8 @@
     duration requestTimeout = std::chrono::milliseconds(10'000);
     /// Limits the tracked flows; further flows are forwarded without being tracked.
     size_t maximumObservedFlows = 65'536;
+    /// Rate of the balancer's link; 0 if unknown.
+    uint64_t linkBytesPerSecond = 0;
     auto operator<=>(placement_settings const&) const = default;
 };
 
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+    // Header and prefix of a packet.
+    constexpr size_t overheadBytes = 44;
+
     forward_packet forwardTo(pooled_backend const& backend, packet_novelty novelty = packet_novelty::New)
     {
         return { backend.token, backend.entry.announcement.tag, backend.entry.announcement.address, novelty };
@@ -23,6 +26,8 @@
         return "no_server";
     case reset_reason::Overloaded:
         return "overloaded";
+    case reset_reason::LinkFull:
+        return "link_full";
     case reset_reason::ServerGone:
         return "server_gone";
     case reset_reason::ServerUnresponsive:
@@ -49,6 +54,7 @@
 token_router::token_router(placement_settings const& settings, std::string const& zone, uint64_t seed)
     : m_pool(settings, zone, seed)
     , m_observer(settings, m_pool)
+    , m_link({ .bytesPerSecond = settings.linkBytesPerSecond, .windowPackets = settings.callerWindowPackets })
     , m_seed(seed)
 {
 }
@@ -122,6 +128,13 @@
         // A caller repeats a handshake packet unless it was refused, so another balancer may have forwarded the flow
         // to a server before. But a refused flow may have repetitions that were sent before the caller was notified.
         bool const mayRefuse = packet.retransmissionCount == 0 || m_observer.isRefused(packet.flowEndpoints);
+        bool const isUpload = route->second.kind == request_kind::Upload;
+        if (!backend && mayRefuse && isUpload && !m_link.admits(packet.flowEndpoints, now)) {
+            reset_flow const refusal { reset_reason::LinkFull, {},
+                m_observer.observationOf(packet.flowEndpoints, now) };
+            m_observer.recordRefusal(packet, now);
+            return refusal;
+        }
         if (!backend && mayRefuse && !isAdmitted(packet, service, route->second, now)) {
             reset_flow const refusal { reset_reason::Overloaded, m_pool.overload().lowerQuartileResponseTime(service),
                 m_observer.observationOf(packet.flowEndpoints, now) };
@@ -135,27 +148,49 @@
     if (!backend)
         return reset(packet, reset_reason::NoServer, now);
     m_observer.recordHandshake(packet, backend->token, now);
+    if (route->second.kind == request_kind::Upload)
+        m_link.recordHandshake(packet.flowEndpoints, now);
     return forwardTo(*backend);
 }
 
-bool token_router::mayRepeatRequest(caller_packet const& packet) const
+service_route const* token_router::routeOf(flow_endpoints const& flowEndpoints) const
 {
     if (!m_routes)
-        return false;
-    auto const route = m_routes->routes.find(packet.flowEndpoints.service);
-    return route != m_routes->routes.end() && isIdempotent(route->second.kind);
+        return nullptr;
+    auto const route = m_routes->routes.find(flowEndpoints.service);
+    return route == m_routes->routes.end() ? nullptr : &route->second;
+}
+
+bool token_router::mayRepeatRequest(caller_packet const& packet) const
+{
+    auto const* const route = routeOf(packet.flowEndpoints);
+    return route && isIdempotent(route->kind);
+}
+
+void token_router::recordOnLink(caller_packet const& packet, monotonic_time now)
+{
+    if (!m_link.isLimited())
+        return;
+    auto const* const route = routeOf(packet.flowEndpoints);
+    if (route && route->kind == request_kind::Upload)
+        m_link.recordPacket(packet, now);
+    else
+        m_link.recordTraffic(packet.payloadBytes + overheadBytes, now);
 }
 
 packet_decision token_router::decide(caller_packet const& packet, monotonic_time now)
 {
-    if (packet.purpose == packet_purpose::Open)
+    if (packet.purpose == packet_purpose::Open) {
+        m_link.recordTraffic(overheadBytes, now);
         return open(packet, now);
+    }
     auto const token = packet.token != noToken ? packet.token : m_observer.serverTokenOf(packet.flowEndpoints);
     if (token == noToken)
         return discard_packet { discard_reason::NoToken };
     auto* const backend = m_pool.find(token);
     if (!backend)
         return discard_packet { discard_reason::UnknownToken };
+    recordOnLink(packet, now);
     auto const novelty = m_observer.recordPacket(packet, now);
     if (packet.purpose != packet_purpose::Abort && m_pool.hasStopped(*backend, novelty)) {
         // The endpoints may belong to a later flow with another server by now, which a reset would end.
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -3,6 +3,7 @@
 #include <Placement/backend_pool.h>
 #include <Placement/caller_packet.h>
 #include <Placement/flow_observer.h>
+#include <Placement/link_budget.h>
 #include <Placement/route_table.h>
 #include <map>
 #include <memory>
@@ -17,6 +18,8 @@
     NoServer,
     /// The service is overloaded, and overload control does not admit the flow.
     Overloaded,
+    /// The balancer's link has no room for the large request of the flow.
+    LinkFull,
     /// The server has left, or lost its address to another one, and does not respond to a repeated packet.
     ServerGone,
     /// The server does not respond to any caller, and the request may be repeated at another server.
@@ -86,12 +89,17 @@
     /// @return The version of the current routes; 0 before the first.
     uint64_t version() const { return m_routes ? m_routes->version : 0; }
     route_table const* routes() const { return m_routes.get(); }
+    link_budget const& link() const { return m_link; }
     size_t observedFlows() const { return m_observer.size(); }
 
 private:
     /// @return A reset, after which the flow is no longer tracked.
     reset_flow reset(caller_packet const& packet, reset_reason reason, monotonic_time now);
     packet_decision open(caller_packet const& packet, monotonic_time now);
+    /// @return The route of a flow; nullptr if there is none.
+    service_route const* routeOf(flow_endpoints const& flowEndpoints) const;
+    /// Tells the link budget about a packet of an open flow.
+    void recordOnLink(caller_packet const& packet, monotonic_time now);
     /// @return Whether the caller may repeat the request of the packet's flow at another server.
     bool mayRepeatRequest(caller_packet const& packet) const;
     std::string const& chooseService(service_route const& route);
@@ -100,6 +108,7 @@
 
     backend_pool m_pool;
     flow_observer m_observer;
+    link_budget m_link;
     std::shared_ptr<route_table const> m_routes;
     /// By service, the priority of the least important route to it.
     std::map<std::string, uint32_t> m_lowestPriorities;
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -70,6 +70,7 @@
     {
         placement_settings result;
         result.announcementInterval = settings.announcementInterval;
+        result.linkBytesPerSecond = settings.linkBytesPerSecond;
         return result;
     }
 
@@ -343,7 +344,9 @@
         return;
     std::ostringstream line;
     line << "received=" << use.receivedBytes << " sent=" << use.sentBytes << " rate=" << static_cast<uint64_t>(rate)
-         << " packets=" << use.receivedPackets << " repeated=" << use.repeatedPackets << " batch=" << use.largestBatch;
+         << " packets=" << use.receivedPackets << " repeated=" << use.repeatedPackets << " batch=" << use.largestBatch
+         << " uploads=" << m_router.link().flows() << " on_the_way=" << m_router.link().bytesOnTheWay()
+         << " room=" << m_router.link().room();
     m_logger.emit(events::linkLoaded, line.str());
 }
 
@@ -366,6 +369,8 @@
     for (auto const sample : m_router.pool().drainResponseTimes())
         m_metrics.distribution("backend_response_seconds").add(sample);
     m_metrics.setGauge("balancer_evacuated_zones", static_cast<double>(m_router.pool().evacuations().zones.size()));
+    m_metrics.setGauge("link_bulk_flows", static_cast<double>(m_router.link().flows()));
+    m_metrics.setGauge("link_bulk_bytes", static_cast<double>(m_router.link().bytesOnTheWay()));
     m_metrics.setGauge("balancer_configuration_version", static_cast<double>(m_router.version()));
     m_metrics.setGauge("balancer_backends", static_cast<double>(m_router.pool().size()));
     m_metrics.setGauge("balancer_contested_addresses", static_cast<double>(m_control.contestedAddressCount()));
--- a/Tests/Placement/placement_fixture.h
+++ b/Tests/Placement/placement_fixture.h
@@ -15,8 +15,8 @@
     static constexpr uint16_t downloadPort = 8443;
     static constexpr uint16_t uploadPort = 9443;
 
-    placement_fixture()
-        : router({}, "a", 7)
+    explicit placement_fixture(placement_settings const& settings = {})
+        : router(settings, "a", 7)
     {
         route_table table;
         table.version = 1;
--- a/Tests/Placement/test_uploads.cpp
+++ b/Tests/Placement/test_uploads.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <map>
 
 using namespace bilberryyard;
 
@@ -15,6 +16,8 @@
 
 class upload_fixture : public placement_fixture {
 public:
+    using placement_fixture::placement_fixture;
+
     /// Sends one packet of an upload.
     /// @param index 0 for the first packet of the request.
     packet_decision sendPart(uint16_t caller, uint32_t token, uint32_t index)
@@ -200,4 +203,45 @@
     BOOST_TEST(placement_fixture::targetOf(fixture.open(30'000, 0, row.port)).value() == placement_fixture::tokenOf(1));
 }
 
+struct link_row {
+    char const* name;
+    uint64_t linkBytesPerSecond;
+    uint16_t port;
+    std::optional<reset_reason> reset;
+};
+std::ostream& operator<<(std::ostream& stream, link_row const& row) { return stream << row.name; }
+
+link_row const linkRows[] = {
+    { "uploads on a small link", 662'500, placement_fixture::uploadPort, reset_reason::LinkFull },
+    { "uploads on a link of unknown rate", 0, placement_fixture::uploadPort, std::nullopt },
+    { "uploads on a large link", 125'000'000, placement_fixture::uploadPort, std::nullopt },
+    { "small requests on a small link", 662'500, placement_fixture::nonIdempotentPort, std::nullopt },
+    { "downloads on a small link", 662'500, placement_fixture::downloadPort, std::nullopt },
+};
+
+// Upload burst: what the link cannot carry is refused at the handshake, and an open flow is never reset. Guards against
+// uploads that are admitted and then hold up all other flows.
+BOOST_DATA_TEST_CASE(uploads_beyond_the_link_are_refused_at_the_handshake, linkRows, row)
+{
+    placement_settings settings;
+    settings.linkBytesPerSecond = row.linkBytesPerSecond;
+    upload_fixture fixture(settings);
+    fixture.announce(1);
+    fixture.announce(2, "a", backend_state::Ready, "gallery");
+    std::map<uint16_t, uint32_t> admitted;
+    std::optional<reset_reason> reset;
+    for (uint16_t caller = 20'000; caller < 20'040; ++caller) {
+        auto const decision = fixture.open(caller, 0, row.port);
+        if (auto const token = placement_fixture::targetOf(decision))
+            admitted[caller] = *token;
+        else
+            reset = placement_fixture::resetOf(decision);
+    }
+    BOOST_CHECK(reset == row.reset);
+    for (auto const& [caller, token] : admitted)
+        BOOST_CHECK(placement_fixture::targetOf(fixture.request(caller, token, 5'001, row.port)) == token);
+    // A repeated handshake of an admitted flow keeps its server.
+    BOOST_CHECK(placement_fixture::targetOf(fixture.open(20'000, 1, row.port)).has_value());
+}
+
 } // namespace
