--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -21,6 +21,7 @@
         events::linesSuppressed,
         events::evacuationInForce,
         events::warmUpLimitReached,
+        events::linkLoaded,
         events::tableChanged,
         events::serverJoined,
         events::serverLeaseExpired,
