Placement: Collect evidence about servers that fail while they look well

Servers that fail requests at once look fast and attract most new flows, and each of many balancers sees too little of one of them to judge it. Finished requests are now compared with the usual size of their route's responses, each server is compared with the rest of its service by a likelihood ratio, and balancers share their counts through two control hosts. A server that stands out lacks the criterion Trusted; it gets single idempotent requests as probes. Only responses that look whole make a server seem faster.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -20,6 +20,8 @@
         events::serverEjected,
         events::linesSuppressed,
         events::evacuationInForce,
+        events::serverTrustLost,
+        events::serverTrustRegained,
         events::tableChanged,
         events::serverJoined,
         events::serverLeaseExpired,
--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -178,6 +178,32 @@
             evacuations.add_zones(zone);
     }
 
+    uint32_t toTenths(double count) { return static_cast<uint32_t>(std::lround(std::clamp(count, 0.0, 1e6) * 10)); }
+    double fromTenths(uint32_t tenths) { return tenths / 10.0; }
+
+    void write(wire::FailureCounts& target, std::vector<server_counts> const& servers)
+    {
+        for (auto const& server : servers) {
+            target.add_tokens(server.token);
+            target.add_whole(toTenths(server.counts.whole));
+            target.add_conspicuous(toTenths(server.counts.conspicuous));
+        }
+    }
+
+    void write(wire::FleetMessage& target, failure_report const& message)
+    {
+        write(*target.mutable_failure_report()->mutable_servers(), message.servers);
+    }
+
+    void write(wire::FleetMessage& target, failure_sums const& message)
+    {
+        auto& sums = *target.mutable_failure_sums();
+        sums.set_reporters(message.reporters);
+        write(*sums.mutable_servers(), message.servers);
+        sums.set_rest_whole(toTenths(message.rest.whole));
+        sums.set_rest_conspicuous(toTenths(message.rest.conspicuous));
+    }
+
     /// Assigns an index to each distinct text of a page.
     class text_table {
     public:
@@ -315,6 +341,34 @@
         return age_request { { source.tokens().begin(), source.tokens().end() } };
     }
 
+    absl::StatusOr<std::vector<server_counts>> read(wire::FailureCounts const& source)
+    {
+        if (source.tokens_size() != source.whole_size() || source.tokens_size() != source.conspicuous_size())
+            return makeError(error_kind::InvalidArgument, "the lists of counts differ in length");
+        std::vector<server_counts> servers;
+        for (int index = 0; index < source.tokens_size(); ++index)
+            servers.push_back(
+                { source.tokens(index), { fromTenths(source.whole(index)), fromTenths(source.conspicuous(index)) } });
+        return servers;
+    }
+
+    absl::StatusOr<fleet_message> read(wire::FailureReport const& source)
+    {
+        auto servers = read(source.servers());
+        if (!servers.ok())
+            return servers.status();
+        return failure_report { *std::move(servers) };
+    }
+
+    absl::StatusOr<fleet_message> read(wire::FailureSums const& source)
+    {
+        auto servers = read(source.servers());
+        if (!servers.ok())
+            return servers.status();
+        return failure_sums { source.reporters(), *std::move(servers),
+            { fromTenths(source.rest_whole()), fromTenths(source.rest_conspicuous()) } };
+    }
+
     absl::StatusOr<std::vector<server_age>> readAges(
         google::protobuf::RepeatedField<uint32_t> const& tokens, google::protobuf::RepeatedField<uint32_t> const& ages)
     {
@@ -511,6 +565,10 @@
         auto const& zones = source.evacuated_zones().zones();
         return evacuated_zones { source.evacuated_zones().revision(), { zones.begin(), zones.end() } };
     }
+    case wire::FleetMessage::kFailureReport:
+        return read(source.failure_report());
+    case wire::FleetMessage::kFailureSums:
+        return read(source.failure_sums());
     case wire::FleetMessage::kControl:
         return control_envelope { source.control() };
     case wire::FleetMessage::kJoin: {
--- a/Libraries/Fleet/fleet_message.h
+++ b/Libraries/Fleet/fleet_message.h
@@ -2,6 +2,7 @@
 
 #include <Membership/backend_announcement.h>
 #include <Membership/evacuated_zones.h>
+#include <Placement/failure_evidence.h>
 #include <Placement/route_difference.h>
 #include <Placement/route_table.h>
 #include <compare>
@@ -223,6 +224,7 @@
 };
 
 using fleet_message = std::variant<hello_message, hello_response, directory_update, route_table, control_envelope,
-    join_request, directory_request, directory_page, age_request, age_response, route_difference, evacuated_zones>;
+    join_request, directory_request, directory_page, age_request, age_response, route_difference, evacuated_zones,
+    failure_report, failure_sums>;
 
 } // namespace bilberryyard
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -59,6 +59,7 @@
         backend.load.retransmissionsSinceResponse = 0;
         backend.load.ejectedUntil = {};
         backend.load.ejections = 0;
+        m_evidence.remove(token);
     }
 }
 
@@ -123,6 +124,7 @@
     if (backend == m_backends.end())
         return;
     std::erase(m_services[backend->second.entry.announcement.service], backend->first);
+    m_evidence.remove(backend->first);
     m_backends.erase(backend);
 }
 
@@ -141,7 +143,7 @@
         [&](uint32_t token) { return m_backends.at(token).entry.state() == backend_state::Ready; }));
 }
 
-placement_criteria backend_pool::criteriaOf(pooled_backend const& backend, monotonic_time now) const
+placement_criteria backend_pool::criteriaOf(pooled_backend const& backend, request_kind kind, monotonic_time now) const
 {
     using enum placement_criterion;
     auto const state = backend.entry.state();
@@ -155,7 +157,8 @@
     bool const isResponsive = load.ejectedUntil <= now && !(isEjectionCandidate && load.opening > 0);
     bool const isRecentlyDraining
         = state == backend_state::Draining && now - backend.entry.leavingSince <= m_settings.handshakeTimeout;
-    return placement_criteria::of(Trusted)
+    return placement_criteria()
+        .addIf(m_evidence.isTrusted(backend.token, kind, now), Trusted)
         .addIf(!m_evacuations.zones.contains(backend.entry.announcement.zone), Permitted)
         .addIf(state == backend_state::Ready, Ready)
         .addIf(isRecentlyDraining, RecentlyDraining)
@@ -218,13 +221,14 @@
     auto const tokens = m_services.find(service);
     if (tokens == m_services.end())
         return nullptr;
+    evaluateEvidence(service, now);
     auto const idleWeight = idleFlowWeight(service);
     pooled_backend* best = nullptr;
     auto bestLevel = placementLevels.size();
     double bestCost = 0;
     for (auto const token : tokens->second) {
         auto& backend = m_backends.at(token);
-        auto const level = strictestLevel(criteriaOf(backend, now));
+        auto const level = strictestLevel(criteriaOf(backend, kind, now));
         if (!level || *level > bestLevel)
             continue;
         auto const value = cost(backend, kind, idleWeight, now);
@@ -234,9 +238,23 @@
         bestLevel = *level;
         bestCost = value;
     }
+    if (best)
+        m_evidence.recordPlacement(best->token, now);
     return best;
 }
 
+void backend_pool::evaluateEvidence(std::string const& service, monotonic_time now)
+{
+    if (!m_evidence.isDue(service, now))
+        return;
+    std::vector<uint32_t> ready;
+    for (auto const token : m_services.at(service)) {
+        if (m_backends.at(token).entry.state() == backend_state::Ready)
+            ready.push_back(token);
+    }
+    m_evidence.evaluate(service, ready, now);
+}
+
 void backend_pool::recordAcknowledgement(pooled_backend& backend, monotonic_time now)
 {
     backend.load.lastResponseAt = now;
@@ -262,6 +280,16 @@
     backend.load.slownessUpdatedAt = now;
 }
 
+void backend_pool::recordResponse(pooled_backend& backend, observed_response const& response, monotonic_time now)
+{
+    m_evidence.record(backend.token, response.look, now);
+    if (!response.time)
+        return;
+    if (response.look != response_look::Conspicuous)
+        return recordResponseTime(backend, *response.time, now);
+    m_overload.recordLatency(backend.entry.announcement.service, *response.time, now);
+}
+
 bool backend_pool::mayEject(pooled_backend const& candidate, monotonic_time now) const
 {
     auto const& tokens = m_services.at(candidate.entry.announcement.service);
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -4,12 +4,14 @@
 #include <Membership/evacuated_zones.h>
 #include <Membership/server_liveness.h>
 #include <Placement/backend_load.h>
+#include <Placement/failure_evidence.h>
 #include <Placement/flow_token.h>
 #include <Placement/overload_control.h>
 #include <Placement/placement_criteria.h>
 #include <Placement/placement_settings.h>
 #include <Placement/route_table.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -36,6 +38,14 @@
     backend_load load;
 };
 
+/// A request that has ended, or whose response already looks whole.
+struct observed_response {
+    response_look look = response_look::Unknown;
+    /// From the request to the first byte of its response; nullopt if there was none.
+    std::optional<duration> time {};
+    auto operator<=>(observed_response const&) const = default;
+};
+
 /// Whether the time since a server's last announcement is meaningful.
 enum class directory_health : uint8_t {
     /// A control host reports that has been up long enough to have received an announcement of every server. So a
@@ -107,6 +117,10 @@
     void recordAcknowledgement(pooled_backend& backend, monotonic_time now);
     /// @param time From a request to the first byte of its response.
     void recordResponseTime(pooled_backend& backend, duration time, monotonic_time now);
+    /// Records how a request of the server has ended. Only responses that look whole make the server seem faster, or
+    /// it would attract flows by failing them at once.
+    void recordResponse(pooled_backend& backend, observed_response const& response, monotonic_time now);
+    failure_evidence& evidence() { return m_evidence; }
     /// @return Whether the server has neither responded to any caller nor announced itself for so long that flows with
     ///     idempotent requests should be reset, so that callers retry at another server.
     bool isPresumedDead(pooled_backend const& backend, monotonic_time now) const;
@@ -143,7 +157,10 @@
 
 private:
     /// @return What placement may rely on for this server.
-    placement_criteria criteriaOf(pooled_backend const& backend, monotonic_time now) const;
+    /// @param kind Kind of the request that the flow is for.
+    placement_criteria criteriaOf(pooled_backend const& backend, request_kind kind, monotonic_time now) const;
+    /// Updates the trust in the servers of a service if that is due.
+    void evaluateEvidence(std::string const& service, monotonic_time now);
     double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
     double idleFlowWeight(std::string const& service);
     double slowness(pooled_backend const& backend, monotonic_time now) const;
@@ -155,6 +172,7 @@
 
     placement_settings m_settings;
     overload_control m_overload;
+    failure_evidence m_evidence { failure_evidence_settings() };
     std::string m_zone;
     uint64_t m_seed;
     uint64_t m_drawCount = 0;
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -1,5 +1,6 @@
 #include <Placement/flow_observer.h>
 
+#include <optional>
 #include <utility>
 
 namespace bilberryyard {
@@ -111,6 +112,7 @@
         entry->second.lastPacketAt = now;
         return;
     } else {
+        finishRequest(entry->second, packet.flowEndpoints.service, now);
         removeFromLoad(entry->second);
     }
     entry->second = createFlow(token, phase::Opening, packet.sequence + 1, now);
@@ -155,6 +157,7 @@
             && packet.sequence - entry->second.sentEnd > maximumBytesSinceHandshake)
             return packet_novelty::New;
         // The tracked flow is an earlier one of the same port, or another server has completed its handshake.
+        finishRequest(entry->second, packet.flowEndpoints.service, now);
         removeFromLoad(entry->second);
         m_flows.erase(entry);
         entry = m_flows.end();
@@ -165,13 +168,17 @@
             return packet_novelty::New;
         entry
             = m_flows.emplace(packet.flowEndpoints, createFlow(packet.token, phase::Idle, packet.sequence, now)).first;
+        entry->second.acknowledged = packet.acknowledgement;
     }
     auto& flow = entry->second;
     flow.lastPacketAt = now;
-    if (packet.purpose != packet_purpose::Abort)
+    if (packet.purpose != packet_purpose::Abort) {
         recordProgress(flow, packet, now);
+        countWholeResponse(flow, packet.flowEndpoints.service, now);
+    }
     auto const isRepeated = packet.purpose == packet_purpose::Continue && recordData(flow, packet, now);
     if (packet.purpose != packet_purpose::Continue) {
+        finishRequest(flow, packet.flowEndpoints.service, now);
         removeFromLoad(flow);
         m_flows.erase(entry);
     }
@@ -182,6 +189,8 @@
 {
     auto* const backend = m_pool.find(flow.token);
     bool const isHandshake = flow.state == phase::Opening;
+    if (isHandshake || isAfter(packet.acknowledgement, flow.acknowledged))
+        flow.acknowledged = packet.acknowledgement;
     bool const isResponse = flow.state == phase::Busy && isAfter(packet.acknowledgement, flow.requestAcknowledgement);
     if (!isHandshake && !isResponse)
         return;
@@ -190,7 +199,36 @@
         return;
     m_pool.recordAcknowledgement(*backend, now);
     if (isResponse)
-        m_pool.recordResponseTime(*backend, now - flow.requestAt, now);
+        flow.responseTime = now - flow.requestAt;
+}
+
+void flow_observer::countWholeResponse(observed_flow& flow, ip_endpoint const& route, monotonic_time now)
+{
+    if (flow.record != observed_flow::request_record::Uncounted || flow.state != phase::Idle)
+        return;
+    auto const bytes = flow.acknowledged - flow.requestAcknowledgement;
+    auto const look = m_pool.evidence().lookOf(route, bytes);
+    if (look == response_look::Conspicuous)
+        return;
+    flow.record = observed_flow::request_record::Counted;
+    if (auto* const backend = m_pool.find(flow.token))
+        m_pool.recordResponse(*backend, { look, flow.responseTime }, now);
+}
+
+void flow_observer::finishRequest(observed_flow& flow, ip_endpoint const& route, monotonic_time now)
+{
+    auto const record = std::exchange(flow.record, observed_flow::request_record::None);
+    if (record == observed_flow::request_record::None)
+        return;
+    auto const bytes = flow.acknowledged - flow.requestAcknowledgement;
+    bool const isAnswered = flow.state == phase::Idle;
+    if (isAnswered)
+        m_pool.evidence().recordSize(route, bytes);
+    if (record == observed_flow::request_record::Counted)
+        return;
+    if (auto* const backend = m_pool.find(flow.token))
+        m_pool.recordResponse(*backend,
+            { response_look::Conspicuous, isAnswered ? std::optional(flow.responseTime) : std::nullopt }, now);
 }
 
 bool flow_observer::recordData(observed_flow& flow, caller_packet const& packet, monotonic_time now)
@@ -211,8 +249,10 @@
     flow.sentEnd = end;
     flow.sentAt = flow.transmittedAt = now;
     if (flow.state == phase::Idle) {
+        finishRequest(flow, packet.flowEndpoints.service, now);
         flow.requestAt = now;
-        flow.requestAcknowledgement = packet.acknowledgement;
+        flow.requestAcknowledgement = flow.acknowledged = packet.acknowledgement;
+        flow.record = observed_flow::request_record::Uncounted;
         changeState(flow, phase::Busy);
     }
     return false;
@@ -229,18 +269,21 @@
 
 void flow_observer::sweep(monotonic_time now, duration idleTimeout)
 {
-    std::erase_if(m_flows, [&](auto const& item) {
-        auto const& flow = item.second;
+    for (auto entry = m_flows.begin(); entry != m_flows.end();) {
+        auto& flow = entry->second;
         auto timeout = idleTimeout;
         if (flow.state == phase::Opening || flow.state == phase::Refused)
             timeout = m_settings.handshakeTimeout;
         else if (flow.state == phase::Busy)
             timeout = m_settings.requestTimeout;
-        if (now - flow.lastPacketAt <= timeout)
-            return false;
+        if (now - flow.lastPacketAt <= timeout) {
+            ++entry;
+            continue;
+        }
+        finishRequest(flow, entry->first.service, now);
         removeFromLoad(flow);
-        return true;
-    });
+        entry = m_flows.erase(entry);
+    }
 }
 
 } // namespace bilberryyard
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -79,6 +79,18 @@
         monotonic_time requestAt;
         /// Acknowledgement number of the packet that began the request.
         uint32_t requestAcknowledgement = 0;
+        /// Highest acknowledgement number of the caller.
+        uint32_t acknowledged = 0;
+        /// What is still to be recorded of the latest request.
+        enum class request_record : uint8_t {
+            None,
+            /// Its response does not look whole yet, so it has not been counted.
+            Uncounted,
+            Counted,
+        };
+        request_record record = request_record::None;
+        /// From the request to the first acknowledged byte of its response.
+        duration responseTime {};
         /// Sequence number after the last byte that the caller has sent.
         uint32_t sentEnd = 0;
         /// When the packet that ends at sentEnd was first received.
@@ -88,6 +100,10 @@
     };
 
     void recordProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now);
+    /// Counts the flow's request as soon as its response looks whole.
+    void countWholeResponse(observed_flow& flow, ip_endpoint const& route, monotonic_time now);
+    /// Counts the flow's request, which gets no more bytes of a response.
+    void finishRequest(observed_flow& flow, ip_endpoint const& route, monotonic_time now);
     /// @return Whether the caller has sent the data before and still waits for a response.
     bool recordData(observed_flow& flow, caller_packet const& packet, monotonic_time now);
     /// @return A new flow, already added to the load of its server.
--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -4,6 +4,7 @@
 #include <Base/hashing.h>
 #include <Fleet/fleet_codec.h>
 #include <algorithm>
+#include <sstream>
 
 namespace bilberryyard {
 
@@ -24,6 +25,9 @@
     // Limits the length of a log line when many servers stop together.
     constexpr size_t maximumListedServers = 16;
     // Expiry visits all servers; those that have left are kept for minutes.
+    // Bounds the traffic of control hosts; a server that fails all its requests is known after about one more second.
+    constexpr duration failureReportInterval = std::chrono::milliseconds(1'000);
+    constexpr size_t failureReportCopies = 2;
     constexpr duration expiryInterval = std::chrono::seconds(5);
 
 } // namespace
@@ -131,6 +135,12 @@
         m_logger.emit(events::evacuationInForce, toText(message) + " from=" + link.name);
 }
 
+void balancer_control::handle(ip_endpoint const& sender, failure_sums const& message, monotonic_time now)
+{
+    m_links[sender].lastSeenAt = now;
+    m_router.pool().evidence().setSums(sender, message, now);
+}
+
 void balancer_control::applyChanges(
     ip_endpoint const& sender, directory_view::changes const& changes, server_lines lines, monotonic_time now)
 {
@@ -328,6 +338,45 @@
     }
 }
 
+void balancer_control::reportFailures(monotonic_time now)
+{
+    logTrustChanges();
+    if (now - m_failuresReportedAt < failureReportInterval)
+        return;
+    m_failuresReportedAt = now;
+    auto const report = m_router.pool().evidence().drainReport(now);
+    if (report.servers.empty())
+        return;
+    std::vector<std::pair<uint64_t, ip_endpoint>> receivers;
+    for (auto const& [peer, link] : m_links) {
+        if (isReachable(link, now))
+            receivers.emplace_back(hashPair(0, peer.address.toIpv4()), peer);
+    }
+    std::sort(receivers.begin(), receivers.end());
+    if (receivers.size() > failureReportCopies)
+        receivers.resize(failureReportCopies);
+    for (auto const& [hash, peer] : receivers)
+        m_channel.send(peer, report);
+}
+
+void balancer_control::logTrustChanges()
+{
+    for (auto const& change : m_router.pool().evidence().drainChanges()) {
+        auto const* const backend = m_router.pool().find(change.score.token);
+        std::ostringstream line;
+        line << "server=" << (backend ? backend->entry.announcement.id : std::to_string(change.score.token))
+             << " service=" << (backend ? backend->entry.announcement.service : "-")
+             << " whole=" << change.score.counts.whole << " conspicuous=" << change.score.counts.conspicuous
+             << " others_share=" << change.score.othersShare << " score=" << change.score.score
+             << " threshold=" << change.threshold
+             << " from=" << (change.from == trust_change::source::Own ? "own" : "shared")
+             << " untrusted=" << change.untrusted << " ready=" << change.ready;
+        m_logger.emit(
+            change.to == trust_change::direction::Lost ? events::serverTrustLost : events::serverTrustRegained,
+            line.str());
+    }
+}
+
 size_t balancer_control::reachableControlCount(monotonic_time now) const
 {
     return static_cast<size_t>(
@@ -354,6 +403,7 @@
 void balancer_control::step(monotonic_time now)
 {
     sendAgeRequests(now);
+    reportFailures(now);
     m_directory.step(now);
     requestPage(now);
     if (now < m_helloSentAt + helloPeriod(now))
--- a/Services/Fleet/balancer_control.h
+++ b/Services/Fleet/balancer_control.h
@@ -69,6 +69,11 @@
     void handle(ip_endpoint const& sender, directory_page const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, age_response const& message, monotonic_time now);
     void handle(ip_endpoint const& sender, evacuated_zones const& message, monotonic_time now);
+    void handle(ip_endpoint const&, failure_report const&, monotonic_time) { }
+    void handle(ip_endpoint const& sender, failure_sums const& message, monotonic_time now);
+    /// Sends what the callers' packets tell about servers to two control hosts, the same for all balancers.
+    void reportFailures(monotonic_time now);
+    void logTrustChanges();
     void sendHello(monotonic_time now);
     void sendHello(ip_endpoint const& peer, host_list hosts, server_scope servers, route_request routes);
     duration helloPeriod(monotonic_time now) const;
@@ -112,6 +117,7 @@
     monotonic_time m_helloSentAt;
     monotonic_time m_serversRequestedAt;
     monotonic_time m_routesRequestedAt;
+    monotonic_time m_failuresReportedAt;
 };
 
 } // namespace bilberryyard
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -324,6 +324,9 @@
     for (auto const sample : m_router.pool().drainResponseTimes())
         m_metrics.distribution("backend_response_seconds").add(sample);
     m_metrics.setGauge("balancer_evacuated_zones", static_cast<double>(m_router.pool().evacuations().zones.size()));
+    m_metrics.setGauge("balancer_untrusted_servers", static_cast<double>(m_router.pool().evidence().untrustedCount()));
+    m_metrics.setGauge(
+        "balancer_conspicuous_requests", static_cast<double>(m_router.pool().evidence().conspicuousCount()));
     m_metrics.setGauge("balancer_configuration_version", static_cast<double>(m_router.version()));
     m_metrics.setGauge("balancer_backends", static_cast<double>(m_router.pool().size()));
     m_metrics.setGauge("balancer_contested_addresses", static_cast<double>(m_control.contestedAddressCount()));
--- a/Services/Fleet/control_service.cpp
+++ b/Services/Fleet/control_service.cpp
@@ -22,6 +22,7 @@
     constexpr duration helloInterval = std::chrono::milliseconds(700);
     // Log lines are written in batches: at this interval while the process is busy, at the next wake-up otherwise.
     constexpr duration flushInterval = std::chrono::milliseconds(50);
+    constexpr duration failurePublicationInterval = std::chrono::milliseconds(500);
     constexpr duration maintenanceInterval = std::chrono::seconds(1);
     // Directories of up to this many pages are sent unrequested to all known balancers after a restart.
     constexpr size_t maximumPushedPages = 2;
@@ -285,6 +286,7 @@
     refreshEvacuations(now);
     publishDirectory(now);
     publishRoutes(now);
+    publishFailures(now);
     if (now - m_helloSentAt >= helloInterval)
         sendHellos(now);
     if (now - m_maintainedAt >= maintenanceInterval) {
@@ -452,6 +454,27 @@
     m_group.receive(*decoded, sender, now);
 }
 
+void control_service::handle(ip_endpoint const& sender, failure_report const& message, monotonic_time now)
+{
+    m_failures.record(sender, message, now);
+}
+
+void control_service::publishFailures(monotonic_time now)
+{
+    if (m_failures.isEmpty() || now - m_failuresPublishedAt < failurePublicationInterval)
+        return;
+    m_failuresPublishedAt = now;
+    m_failures.expire(now);
+    auto sums = m_failures.sums(now);
+    bool const wasEmpty = m_publishedFailures.servers.empty();
+    m_publishedFailures = std::move(sums);
+    if (wasEmpty && m_publishedFailures.servers.empty())
+        return;
+    auto const encoded = encodeFleetMessage(m_publishedFailures);
+    for (auto const& host : m_hosts.list(host_role::Balancer, now, subscriberTimeout))
+        m_channel.sendEncoded(host.peer, encoded);
+}
+
 void control_service::handle(ip_endpoint const&, join_request const& message, monotonic_time now)
 {
     m_group.receive(message, now);
@@ -608,6 +631,7 @@
     m_metrics.setGauge("control_is_leader", m_group.isLeader() ? 1 : 0);
     m_metrics.setGauge("control_configuration_version", static_cast<double>(m_routesVersion));
     m_metrics.setGauge("control_evacuated_zones", static_cast<double>(m_evacuations.zones.size()));
+    m_metrics.setGauge("control_conspicuous_servers", static_cast<double>(m_publishedFailures.servers.size()));
     m_metrics.setGauge("control_term", static_cast<double>(m_group.term()));
     m_metrics.setGauge("control_commit_index", static_cast<double>(m_group.commitIndex()));
     m_metrics.setGauge("peer_sent_bytes", static_cast<double>(m_channel.sentBytes()));
--- a/Services/Fleet/control_service.h
+++ b/Services/Fleet/control_service.h
@@ -103,6 +103,10 @@
     void handle(ip_endpoint const&, route_table const&, monotonic_time) { }
     void handle(ip_endpoint const&, route_difference const&, monotonic_time) { }
     void handle(ip_endpoint const&, evacuated_zones const&, monotonic_time) { }
+    void handle(ip_endpoint const& sender, failure_report const& message, monotonic_time now);
+    void handle(ip_endpoint const&, failure_sums const&, monotonic_time) { }
+    /// Sends the sums of the balancers' reports to all balancers while servers look conspicuous.
+    void publishFailures(monotonic_time now);
 
     void sendHellos(monotonic_time now);
     void publishDirectory(monotonic_time now);
@@ -189,6 +193,10 @@
     uint64_t m_publishedVersion = 0;
     monotonic_time m_routesPublishedAt;
     monotonic_time m_directoryPublishedAt;
+    failure_aggregator m_failures { failure_evidence_settings() };
+    /// The latest sums; sent without servers once after the last one has left them.
+    failure_sums m_publishedFailures;
+    monotonic_time m_failuresPublishedAt;
     uint64_t m_savedRevision = 0;
     std::string m_savedHosts;
     bool m_isDirectoryRestored = false;
--- a/Tests/Fleet/test_fleet_codec.cpp
+++ b/Tests/Fleet/test_fleet_codec.cpp
@@ -77,6 +77,8 @@
         hello_message { host, 7, 99, 12, host_list::NotRequested, server_scope::Own, route_request::NotRequested, 3 } },
     { "hello response that knows evacuated zones", hello_response { { host }, 7, milliseconds(9'000), true, 4 } },
     { "evacuated zones", evacuated_zones { 4, { "a", "b" } } },
+    { "failure report", failure_report { { { 1, { 3, 0.5 } }, { 0xffffffff, { 0, 2 } } } } },
+    { "failure sums", failure_sums { 82, { { 0xffffffff, { 12.5, 20 } } }, { 1'200, 3.5 } } },
     { "join request", join_request { host, 0x1234567890 } },
 };
 
