--- a/Libraries/Placement/failure_evidence.cpp
+++ b/Libraries/Placement/failure_evidence.cpp
@@ -10,6 +10,8 @@
 namespace {
 
     constexpr duration evaluationInterval = std::chrono::milliseconds(50);
+    // After this time without a conspicuous request, no server can be an outlier.
+    constexpr int evidenceHalfLives = 6;
     // Counts below this have no influence and are forgotten.
     constexpr double negligibleCount = 0.05;
 
@@ -124,6 +126,8 @@
     if (look == response_look::Unknown)
         return;
     request_counts const counts = look == response_look::Whole ? request_counts { 1, 0 } : request_counts { 0, 1 };
+    if (look == response_look::Conspicuous)
+        m_conspicuousAt = now;
     m_conspicuousCount += look == response_look::Conspicuous ? 1 : 0;
     m_counts[token].add(counts, m_settings, now);
     addTo(m_pending[token], counts);
@@ -198,6 +202,11 @@
 void failure_evidence::evaluate(std::string const& service, std::vector<uint32_t> const& ready, monotonic_time now)
 {
     m_evaluatedAt[service] = now;
+    auto const* const received = currentSums(now);
+    bool const hasEvidence = now - m_conspicuousAt <= evidenceHalfLives * m_settings.countHalfLife
+        || (received && !received->sums.servers.empty());
+    if (!hasEvidence && m_untrusted.empty())
+        return;
     auto const limit = threshold(ready.size());
     struct verdict {
         outlier_score score;
--- a/Libraries/Placement/failure_evidence.h
+++ b/Libraries/Placement/failure_evidence.h
@@ -206,6 +206,7 @@
     std::unordered_map<uint32_t, untrusted_server> m_untrusted;
     std::map<std::string, monotonic_time> m_evaluatedAt;
     std::vector<trust_change> m_changes;
+    monotonic_time m_conspicuousAt;
     uint64_t m_conspicuousCount = 0;
 };
 
--- a/Tests/Placement/test_failure_evidence.cpp
+++ b/Tests/Placement/test_failure_evidence.cpp
@@ -26,6 +26,8 @@
         double normalShare = 0.001;
         /// The same for the requests that pass the first balancer.
         double firstBalancerShare = 0;
+        /// Number of servers that this applies to.
+        uint32_t firstBalancerServers = 1'000;
         int requestsPerSecond = 1'600;
     };
 
@@ -83,8 +85,9 @@
             token = m_ready[m_random() % m_ready.size()];
         balancer.recordPlacement(token, now);
         bool const fails = token <= m_load.failing && drawShare() < m_load.failedShare;
+        bool const isLossyPath = index == 0 && token <= m_load.firstBalancerServers;
         bool const looksFailed
-            = fails || drawShare() < m_load.normalShare || (index == 0 && drawShare() < m_load.firstBalancerShare);
+            = fails || drawShare() < m_load.normalShare || (isLossyPath && drawShare() < m_load.firstBalancerShare);
         m_failed += fails ? 1 : 0;
         balancer.record(token, looksFailed ? response_look::Conspicuous : response_look::Whole, now);
     }
@@ -167,6 +170,9 @@
     { "two servers, lossy network", { .balancers = 3, .servers = 2, .normalShare = 0.1, .requestsPerSecond = 100 } },
     { "everything fails on the paths of one balancer", { .balancers = 25, .servers = 120, .firstBalancerShare = 1 },
         1 },
+    { "one of three balancers reaches no server of a zone",
+        { .balancers = 3, .servers = 6, .firstBalancerShare = 1, .firstBalancerServers = 2, .requestsPerSecond = 200 },
+        1 },
     { "half fails on the paths of one balancer", { .balancers = 25, .servers = 120, .firstBalancerShare = 0.5 }, 1 },
 };
 
@@ -191,13 +197,15 @@
     std::vector<uint32_t> ready;
     for (uint32_t token = 1; token <= 10; ++token) {
         ready.push_back(token);
-        for (int count = 0; count < 20; ++count)
-            evidence.record(token, token <= 8 ? response_look::Conspicuous : response_look::Whole, now);
+        for (int count = 0; count < (token <= 6 ? 20 : 1); ++count)
+            evidence.record(token, response_look::Conspicuous, now);
     }
-    failure_sums const sums { 9, {}, {} };
+    failure_sums sums { 9, {}, { 500, 0 } };
+    for (uint32_t token = 1; token <= 6; ++token)
+        sums.servers.push_back({ token, { 0, 20 } });
     evidence.setSums(hostAddress(1), sums, now);
     evidence.evaluate("orders", ready, now);
-    BOOST_TEST(evidence.untrustedCount() <= 5u);
+    BOOST_TEST(evidence.untrustedCount() == 5u);
 }
 
 struct probe_row {
