--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -22,6 +22,8 @@
         events::evacuationInForce,
         events::warmUpLimitReached,
         events::linkLoaded,
+        events::serverTrustLost,
+        events::serverTrustRegained,
         events::tableChanged,
         events::serverJoined,
         events::serverLeaseExpired,
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -60,6 +60,7 @@
         backend.load.retransmissionsSinceResponse = 0;
         backend.load.ejectedUntil = {};
         backend.load.ejections = 0;
+        m_evidence.remove(token);
     }
 }
 
@@ -127,6 +128,7 @@
     if (backend == m_backends.end())
         return;
     std::erase(m_services[backend->second.entry.announcement.service], backend->first);
+    m_evidence.remove(backend->first);
     m_backends.erase(backend);
 }
 
@@ -192,7 +194,7 @@
 }
 
 placement_criteria backend_pool::criteriaOf(
-    pooled_backend const& backend, route_importance importance, monotonic_time now) const
+    pooled_backend const& backend, request_kind kind, route_importance importance, monotonic_time now) const
 {
     using enum placement_criterion;
     auto const state = backend.entry.state();
@@ -209,7 +211,8 @@
     auto const& announcement = backend.entry.announcement;
     bool const isPermitted = !m_evacuations.zones.contains(announcement.zone)
         && (!isLimited(backend, now) || m_warmUp.mayOpen(backend.token, announcement.service, importance, now));
-    return placement_criteria::of(Trusted)
+    return placement_criteria()
+        .addIf(m_evidence.isTrusted(backend.token, kind, now), Trusted)
         .addIf(isPermitted, Permitted)
         .addIf(state == backend_state::Ready, Ready)
         .addIf(isRecentlyDraining, RecentlyDraining)
@@ -276,13 +279,14 @@
     auto const tokens = m_services.find(service);
     if (tokens == m_services.end())
         return nullptr;
+    evaluateEvidence(service, now);
     auto const idleWeight = idleFlowWeight(service);
     pooled_backend* best = nullptr;
     auto bestLevel = placementLevels.size();
     double bestCost = 0;
     for (auto const token : tokens->second) {
         auto& backend = m_backends.at(token);
-        auto const level = strictestLevel(criteriaOf(backend, importance, now));
+        auto const level = strictestLevel(criteriaOf(backend, kind, importance, now));
         if (!level || *level > bestLevel)
             continue;
         auto const value = cost(backend, kind, idleWeight, now);
@@ -292,9 +296,23 @@
         bestLevel = *level;
         bestCost = value;
     }
+    if (best)
+        m_evidence.recordPlacement(best->token, now);
     return best;
 }
 
+void backend_pool::evaluateEvidence(std::string const& service, monotonic_time now)
+{
+    if (!m_evidence.isDue(service, now))
+        return;
+    std::vector<uint32_t> ready;
+    for (auto const token : m_services.at(service)) {
+        if (m_backends.at(token).entry.state() == backend_state::Ready)
+            ready.push_back(token);
+    }
+    m_evidence.evaluate(service, ready, now);
+}
+
 void backend_pool::recordAcknowledgement(pooled_backend& backend, monotonic_time now)
 {
     backend.load.lastResponseAt = now;
@@ -320,6 +338,16 @@
     backend.load.slownessUpdatedAt = now;
 }
 
+void backend_pool::recordResponse(pooled_backend& backend, observed_response const& response, monotonic_time now)
+{
+    m_evidence.record(backend.token, response.look, now);
+    if (!response.time)
+        return;
+    if (response.look != response_look::Conspicuous)
+        return recordResponseTime(backend, *response.time, now);
+    m_overload.recordLatency(backend.entry.announcement.service, *response.time, now);
+}
+
 bool backend_pool::mayEject(pooled_backend const& candidate, monotonic_time now) const
 {
     auto const& tokens = m_services.at(candidate.entry.announcement.service);
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -392,6 +392,9 @@
     m_metrics.setGauge("balancer_evacuated_zone_flows", static_cast<double>(m_router.pool().evacuatedZoneFlows()));
     m_metrics.setGauge("link_bulk_flows", static_cast<double>(m_router.link().flows()));
     m_metrics.setGauge("link_bulk_bytes", static_cast<double>(m_router.link().bytesOnTheWay()));
+    m_metrics.setGauge("balancer_untrusted_servers", static_cast<double>(m_router.pool().evidence().untrustedCount()));
+    m_metrics.setGauge(
+        "balancer_conspicuous_requests", static_cast<double>(m_router.pool().evidence().conspicuousCount()));
     m_metrics.setGauge("balancer_configuration_version", static_cast<double>(m_router.version()));
     m_metrics.setGauge("balancer_backends", static_cast<double>(m_router.pool().size()));
     m_metrics.setGauge("balancer_contested_addresses", static_cast<double>(m_control.contestedAddressCount()));
