Placement: Decide by response times how many flows leave the zone

The cost of a server in another zone was a constant, whatever the way and the bytes cost and however full the own zone was. A balancer of a large fleet sees so few requests that its own counts do not show a queue.

zone_spill compares the response times of the zones with the measured distance and the bytes of a request, and lets a damped share of the new flows leave. The constants remain only until something has been measured.

--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -20,6 +20,7 @@
         events::serverEjected,
         events::linesSuppressed,
         events::evacuationInForce,
+        events::flowsLeftZone,
         events::tableChanged,
         events::serverJoined,
         events::serverLeaseExpired,
--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -37,6 +37,7 @@
     inline constexpr log_event serverEjected { 204, log_severity::Warning, "server_ejected" };
     inline constexpr log_event linesSuppressed { 205, log_severity::Warning, "lines_suppressed" };
     inline constexpr log_event evacuationInForce { 206, log_severity::Information, "evacuation_in_force" };
+    inline constexpr log_event flowsLeftZone { 225, log_severity::Information, "flows_left_zone" };
     inline constexpr log_event tableChanged { 300, log_severity::Information, "table_changed" };
     inline constexpr log_event serverJoined { 400, log_severity::Information, "server_joined" };
     inline constexpr log_event serverLeaseExpired { 401, log_severity::Warning, "server_lease_expired" };
--- a/Libraries/Placement/backend_pool.cpp
+++ b/Libraries/Placement/backend_pool.cpp
@@ -26,10 +26,10 @@
 
 } // namespace
 
-backend_pool::backend_pool(placement_settings const& settings, std::string zone, uint64_t seed)
+backend_pool::backend_pool(placement_settings const& settings, std::string const& zone, uint64_t seed)
     : m_settings(settings)
     , m_overload(settings)
-    , m_zone(std::move(zone))
+    , m_spill(settings.zoneSpill, zone)
     , m_seed(seed)
 {
 }
@@ -50,6 +50,7 @@
         backend.knownSince = now;
     backend.token = token;
     backend.entry = entry;
+    backend.zoneIndex = m_spill.indexOf(entry.announcement.zone);
     if (!wasGone)
         resetDepartureEvidence(backend, now);
     backend.liveness = { entry.lastSeenAt, nullptr };
@@ -201,40 +202,61 @@
     return std::clamp(share, m_settings.minimumIdleFlowWeight, m_settings.maximumIdleFlowWeight);
 }
 
-double backend_pool::cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now)
+double backend_pool::draw() { return static_cast<double>(hashPair(m_seed, ++m_drawCount) % 1024) / 1024; }
+
+double backend_pool::cost(pooled_backend const& backend, double idleWeight, monotonic_time now)
 {
     auto const& load = backend.load;
     auto const requests = 1 + load.busy + load.opening + idleWeight * (load.open - std::min(load.busy, load.open));
     auto const slots = std::max<uint32_t>(backend.entry.announcement.slots, 1);
-    auto value = requests / slots * slowness(backend, now);
-    if (backend.entry.announcement.zone != m_zone)
-        value += kind == request_kind::Download ? m_settings.remoteZoneDownloadCost : m_settings.remoteZoneCost;
-    auto const randomValue = static_cast<double>(hashPair(m_seed, ++m_drawCount) % 1024) / 1024;
-    return value + tieBreakCost * randomValue;
+    return requests / slots * slowness(backend, now) + tieBreakCost * draw();
 }
 
-pooled_backend* backend_pool::select(std::string const& service, request_kind kind, monotonic_time now)
+pooled_backend* backend_pool::select(
+    std::string const& service, request_kind kind, monotonic_time now, duration targetLatency)
 {
     auto const tokens = m_services.find(service);
     if (tokens == m_services.end())
         return nullptr;
     auto const idleWeight = idleFlowWeight(service);
-    pooled_backend* best = nullptr;
     auto bestLevel = placementLevels.size();
-    double bestCost = 0;
+    m_candidates.assign(m_spill.zoneCount(), {});
+    m_capacities.assign(m_spill.zoneCount(), 0);
     for (auto const token : tokens->second) {
         auto& backend = m_backends.at(token);
         auto const level = strictestLevel(criteriaOf(backend, now));
         if (!level || *level > bestLevel)
             continue;
-        auto const value = cost(backend, kind, idleWeight, now);
-        if (*level == bestLevel && value >= bestCost)
-            continue;
-        best = &backend;
-        bestLevel = *level;
-        bestCost = value;
+        if (*level < bestLevel) {
+            bestLevel = *level;
+            m_candidates.assign(m_spill.zoneCount(), {});
+            m_capacities.assign(m_spill.zoneCount(), 0);
+        }
+        auto const slots = std::max<uint32_t>(backend.entry.announcement.slots, 1);
+        m_capacities[backend.zoneIndex] += slots / slowness(backend, now);
+        auto const value = cost(backend, idleWeight, now);
+        auto& candidate = m_candidates[backend.zoneIndex];
+        if (!candidate.backend || value < candidate.cost)
+            candidate = { &backend, value };
     }
-    return best;
+    auto chosenZone = m_spill.chooseZone(service, kind, targetLatency, m_capacities, draw(), draw(), now);
+    if (!chosenZone) {
+        double bestCost = 0;
+        for (size_t zone = 0; zone < m_candidates.size(); ++zone) {
+            if (!m_candidates[zone].backend)
+                continue;
+            auto const value = m_candidates[zone].cost + m_spill.remoteCost(service, kind, zone);
+            if (chosenZone && value >= bestCost)
+                continue;
+            chosenZone = zone;
+            bestCost = value;
+        }
+    }
+    if (!chosenZone)
+        return nullptr;
+    if (*chosenZone != 0)
+        m_spill.recordDeparture(service, kind, *chosenZone);
+    return m_candidates[*chosenZone].backend;
 }
 
 void backend_pool::recordAcknowledgement(pooled_backend& backend, monotonic_time now)
@@ -246,12 +268,15 @@
     backend.load.ejectedUntil = {};
 }
 
-void backend_pool::recordResponseTime(pooled_backend& backend, duration time, monotonic_time now)
+void backend_pool::recordResponseTime(
+    pooled_backend& backend, duration time, monotonic_time now, std::optional<request_kind> kind)
 {
     auto const sample = seconds(time);
     if (m_responseTimes.size() < maximumPendingSamples)
         m_responseTimes.push_back(sample);
     m_overload.recordLatency(backend.entry.announcement.service, time, now);
+    if (kind)
+        m_spill.recordResponseTime(backend.entry.announcement.service, *kind, backend.zoneIndex, time, now);
     auto& mean = m_meanResponseSeconds[backend.entry.announcement.service];
     mean = mean == 0 ? sample : mean + meanResponseGain * (sample - mean);
     if (mean <= 0)
--- a/Libraries/Placement/backend_pool.h
+++ b/Libraries/Placement/backend_pool.h
@@ -9,7 +9,9 @@
 #include <Placement/placement_criteria.h>
 #include <Placement/placement_settings.h>
 #include <Placement/route_table.h>
+#include <Placement/zone_spill.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -34,6 +36,8 @@
     /// When this balancer received that the server is Gone; only meaningful in that state.
     monotonic_time goneSince;
     backend_load load;
+    /// Index of its availability zone, see zone_spill::indexOf().
+    size_t zoneIndex = 0;
 };
 
 /// Whether the time since a server's last announcement is meaningful.
@@ -72,7 +76,7 @@
 public:
     /// @param zone The balancer's availability zone.
     /// @param seed Seed of the choice among servers of equal cost.
-    backend_pool(placement_settings const& settings, std::string zone, uint64_t seed);
+    backend_pool(placement_settings const& settings, std::string const& zone, uint64_t seed);
 
     /// Adds a server or applies its newer directory entry. A new incarnation resets the ejection state.
     /// @param now Start of the remaining warm-up that the entry states.
@@ -96,9 +100,11 @@
     pooled_backend* find(uint32_t token);
 
     /// Chooses the server of a new flow. Of the servers that meet the strictest of placementLevels that any server
-    /// meets, the one with the lowest cost is chosen.
+    /// meets, the one with the lowest cost is chosen; zone_spill may have the flow leave the zone.
+    /// @param targetLatency Of the route; zero if it has none.
     /// @return The server, or null when the service has none that accepts flows.
-    pooled_backend* select(std::string const& service, request_kind kind, monotonic_time now);
+    pooled_backend* select(
+        std::string const& service, request_kind kind, monotonic_time now, duration targetLatency = {});
 
     /// @return Whether a retransmitted handshake packet may still be forwarded to this server.
     bool mayRepeatHandshake(pooled_backend const& backend, monotonic_time now) const;
@@ -106,7 +112,9 @@
     /// Records that a caller acknowledged data or a handshake response of the server.
     void recordAcknowledgement(pooled_backend& backend, monotonic_time now);
     /// @param time From a request to the first byte of its response.
-    void recordResponseTime(pooled_backend& backend, duration time, monotonic_time now);
+    /// @param kind Of the request; unknown when the flow's handshake passed through another balancer.
+    void recordResponseTime(
+        pooled_backend& backend, duration time, monotonic_time now, std::optional<request_kind> kind = std::nullopt);
     /// @return Whether the server has neither responded to any caller nor announced itself for so long that flows with
     ///     idempotent requests should be reset, so that callers retry at another server.
     bool isPresumedDead(pooled_backend const& backend, monotonic_time now) const;
@@ -131,6 +139,8 @@
     std::vector<uint32_t> drainSuspects() { return std::exchange(m_suspects, {}); }
 
     overload_control const& overload() const { return m_overload; }
+    zone_spill& spill() { return m_spill; }
+    zone_spill const& spill() const { return m_spill; }
 
     /// @return Servers that were ejected since the last call, with the duration of each ejection in milliseconds.
     std::vector<std::pair<std::string, int64_t>> drainEjections() { return std::exchange(m_newEjections, {}); }
@@ -142,9 +152,18 @@
     size_t readyCount(std::string const& service) const;
 
 private:
+    /// The server with the lowest cost in one zone.
+    struct zone_candidate {
+        pooled_backend* backend = nullptr;
+        double cost = 0;
+    };
+
     /// @return What placement may rely on for this server.
     placement_criteria criteriaOf(pooled_backend const& backend, monotonic_time now) const;
-    double cost(pooled_backend const& backend, request_kind kind, double idleWeight, monotonic_time now);
+    /// @return Requests a slot of the server after it has got the flow, weighted by its slowness.
+    double cost(pooled_backend const& backend, double idleWeight, monotonic_time now);
+    /// @return A random value from 0 to 1.
+    double draw();
     double idleFlowWeight(std::string const& service);
     double slowness(pooled_backend const& backend, monotonic_time now) const;
     /// @return Whether an announcement of the server is missing at the control hosts that this balancer hears. Servers
@@ -155,7 +174,7 @@
 
     placement_settings m_settings;
     overload_control m_overload;
-    std::string m_zone;
+    zone_spill m_spill;
     uint64_t m_seed;
     uint64_t m_drawCount = 0;
     evacuated_zones m_evacuations;
@@ -170,6 +189,9 @@
     std::vector<std::pair<std::string, int64_t>> m_newEjections;
     std::vector<double> m_responseTimes;
     std::vector<uint32_t> m_suspects;
+    /// The servers that a new flow may go to, by zone; only used while a server is chosen.
+    std::vector<zone_candidate> m_candidates;
+    std::vector<double> m_capacities;
 };
 
 } // namespace bilberryyard
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -100,7 +100,7 @@
     return flow;
 }
 
-void flow_observer::recordHandshake(caller_packet const& packet, uint32_t token, monotonic_time now)
+void flow_observer::recordHandshake(caller_packet const& packet, uint32_t token, request_kind kind, monotonic_time now)
 {
     auto entry = m_flows.find(packet.flowEndpoints);
     if (entry == m_flows.end()) {
@@ -109,11 +109,14 @@
         entry = m_flows.emplace(packet.flowEndpoints, observed_flow()).first;
     } else if (entry->second.token == token && entry->second.state == phase::Opening) {
         entry->second.lastPacketAt = now;
+        entry->second.hasRepeatedHandshake = true;
         return;
     } else {
         removeFromLoad(entry->second);
     }
     entry->second = createFlow(token, phase::Opening, packet.sequence + 1, now);
+    entry->second.kind = kind;
+    entry->second.hasRepeatedHandshake = packet.retransmissionCount > 0;
 }
 
 void flow_observer::recordRefusal(caller_packet const& packet, monotonic_time now)
@@ -172,6 +175,7 @@
         recordProgress(flow, packet, now);
     auto const isRepeated = packet.purpose == packet_purpose::Continue && recordData(flow, packet, now);
     if (packet.purpose != packet_purpose::Continue) {
+        recordRequestBytes(flow, packet);
         removeFromLoad(flow);
         m_flows.erase(entry);
     }
@@ -189,8 +193,23 @@
     if (!backend)
         return;
     m_pool.recordAcknowledgement(*backend, now);
-    if (isResponse)
-        m_pool.recordResponseTime(*backend, now - flow.requestAt, now);
+    if (isResponse) {
+        flow.hasResponse = true;
+        m_pool.recordResponseTime(*backend, now - flow.requestAt, now, flow.kind);
+    } else if (!flow.hasRepeatedHandshake) {
+        m_pool.spill().recordHandshakeTime(backend->zoneIndex, now - flow.openedAt);
+    }
+}
+
+void flow_observer::recordRequestBytes(observed_flow& flow, caller_packet const& packet)
+{
+    auto const* const backend = m_pool.find(flow.token);
+    if (!std::exchange(flow.hasResponse, false) || !flow.kind || !backend)
+        return;
+    auto const received = packet.acknowledgement - flow.requestAcknowledgement;
+    if (isAfter(packet.acknowledgement, flow.requestAcknowledgement))
+        m_pool.spill().recordRequestBytes(
+            backend->entry.announcement.service, *flow.kind, received + (flow.sentEnd - flow.requestSequence));
 }
 
 bool flow_observer::recordData(observed_flow& flow, caller_packet const& packet, monotonic_time now)
@@ -208,6 +227,10 @@
         }
         return true;
     }
+    if (flow.state == phase::Idle) {
+        recordRequestBytes(flow, packet);
+        flow.requestSequence = flow.sentEnd;
+    }
     flow.sentEnd = end;
     flow.sentAt = flow.transmittedAt = now;
     if (flow.state == phase::Idle) {
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -2,6 +2,7 @@
 
 #include <Placement/backend_pool.h>
 #include <Placement/caller_packet.h>
+#include <optional>
 #include <unordered_map>
 
 namespace bilberryyard {
@@ -37,7 +38,8 @@
 
     /// Records a handshake packet that is about to be forwarded.
     /// @param token The server it is forwarded to.
-    void recordHandshake(caller_packet const& packet, uint32_t token, monotonic_time now);
+    /// @param kind Of the flow's requests.
+    void recordHandshake(caller_packet const& packet, uint32_t token, request_kind kind, monotonic_time now);
 
     /// Records that a handshake packet of a flow without a server has been refused.
     void recordRefusal(caller_packet const& packet, monotonic_time now);
@@ -79,6 +81,13 @@
         monotonic_time requestAt;
         /// Acknowledgement number of the packet that began the request.
         uint32_t requestAcknowledgement = 0;
+        /// Sequence number of the first byte of the request.
+        uint32_t requestSequence = 0;
+        /// Whether a byte of the response has been acknowledged.
+        bool hasResponse = false;
+        bool hasRepeatedHandshake = false;
+        /// Of the flow's requests; unknown when the handshake passed through another balancer.
+        std::optional<request_kind> kind;
         /// Sequence number after the last byte that the caller has sent.
         uint32_t sentEnd = 0;
         /// When the packet that ends at sentEnd was first received.
@@ -92,6 +101,8 @@
     bool recordData(observed_flow& flow, caller_packet const& packet, monotonic_time now);
     /// @return A new flow, already added to the load of its server.
     observed_flow createFlow(uint32_t token, phase state, uint32_t nextSequence, monotonic_time now);
+    /// Records the size of a request with its response, when the next request begins or the flow ends.
+    void recordRequestBytes(observed_flow& flow, caller_packet const& packet);
     /// Changes the state of a flow and the load of its server accordingly.
     void changeState(observed_flow& flow, phase state);
     void addToLoad(observed_flow const& flow);
--- a/Libraries/Placement/placement_settings.h
+++ b/Libraries/Placement/placement_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Base/monotonic_time.h>
+#include <Placement/zone_spill_settings.h>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -70,11 +71,8 @@
     double maximumIdleFlowWeight = 0.3;
     /// Weight of a new sample of that share; each new flow adds a sample.
     double idleFlowGain = 0.01;
-    /// Additional cost of a server in another availability zone, in requests per slot.
-    double remoteZoneCost = 0.7;
-    /// The same for downloads. It is higher because transferring their data between zones costs more than a short
-    /// delay.
-    double remoteZoneDownloadCost = 1.5;
+    /// When new flows leave the balancer's availability zone.
+    zone_spill_settings zoneSpill;
     /// Lower bound of a server's slowness during its warm-up.
     double warmUpSlowness = 1.6;
     /// Weight of a new sample of a server's relative response time.
--- a/Libraries/Placement/route_table.h
+++ b/Libraries/Placement/route_table.h
@@ -21,6 +21,9 @@
     Upload = 4,
 };
 
+/// @return A stable name for logs and metrics.
+char const* nameOf(request_kind kind);
+
 /// @return Whether a request may be repeated after it may have run.
 constexpr bool isIdempotent(request_kind kind)
 {
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -128,13 +128,13 @@
             m_observer.recordRefusal(packet, now);
             return refusal;
         }
-        backend = m_pool.select(service, route->second.kind, now);
+        backend = m_pool.select(service, route->second.kind, now, route->second.targetLatency);
     }
     if (!backend && m_pool.coverage() == directory_coverage::Partial)
         return discard_packet { discard_reason::NoDirectory };
     if (!backend)
         return reset(packet, reset_reason::NoServer, now);
-    m_observer.recordHandshake(packet, backend->token, now);
+    m_observer.recordHandshake(packet, backend->token, route->second.kind, now);
     return forwardTo(*backend);
 }
 
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -54,6 +54,9 @@
     /// Limits log lines about flows, because writing a line costs about as much as forwarding a packet.
     static constexpr uint32_t flowLinesPerSecond = 100;
     static constexpr duration sweepInterval = std::chrono::milliseconds(500);
+    static constexpr duration departureReportInterval = std::chrono::seconds(1);
+    /// Limits the lines about flows that left the zone in each report; the metrics count everything.
+    static constexpr size_t maximumDepartureLines = 32;
     /// Until routes and servers are known, packets stay in the socket buffer for up to this long after the start.
     /// Callers do not retransmit opening packets for longer.
     static constexpr duration initialPacketDelay = std::chrono::milliseconds(1'400);
@@ -68,6 +71,7 @@
     {
         placement_settings result;
         result.announcementInterval = settings.announcementInterval;
+        result.zoneSpill.transferCostPerKilobyte = settings.zoneTransferCostPerKilobyte;
         return result;
     }
 
@@ -86,6 +90,7 @@
         log_event const& event, caller_packet const& packet, uint32_t token, char const* outcome, monotonic_time now);
     /// @return What the decision to reset the flow was based on, for a log line.
     std::string evidenceOf(caller_packet const& packet, reset_flow const& reset, monotonic_time now);
+    void reportDepartures(monotonic_time now);
     void maintain(monotonic_time now);
 
     fleet_settings m_settings;
@@ -100,6 +105,7 @@
     bool m_isWithdrawn = false;
     monotonic_time m_startedAt;
     monotonic_time m_sweptAt;
+    monotonic_time m_departuresReportedAt;
     monotonic_time m_flushedAt;
     line_budget m_flowLineBudget { flowLinesPerSecond };
     std::array<uint8_t, Format::prefixBytes + maximumPacketBytes> m_buffer {};
@@ -306,11 +312,37 @@
     m_packets.send({ packet.flowEndpoints.caller.address, m_settings.packetEndpoint->port }, Format::makeReset(packet));
 }
 
+template <packet_format Format>
+void balancer_service<Format>::reportDepartures(monotonic_time now)
+{
+    if (now - m_departuresReportedAt < departureReportInterval)
+        return;
+    m_departuresReportedAt = now;
+    auto const milliseconds = [](duration value) { return std::chrono::duration<double, std::milli>(value).count(); };
+    auto& spill = m_router.pool().spill();
+    size_t lineCount = 0;
+    for (auto const& item : spill.drainDepartures()) {
+        std::string const kind = nameOf(item.kind);
+        m_metrics.counter("flows_left_zone_" + kind + "_total").add(item.flows);
+        m_metrics.counter("flows_left_zone_" + kind + "_bytes_total").add(item.bytes);
+        if (lineCount++ >= maximumDepartureLines)
+            continue;
+        std::ostringstream line;
+        line << "service=" << item.service << " kind=" << kind << " zone=" << item.zone << " flows=" << item.flows
+             << " bytes=" << item.bytes << " share=" << item.comparison.share
+             << " own_ms=" << milliseconds(item.comparison.ownTime)
+             << " remote_ms=" << milliseconds(item.comparison.remoteTime)
+             << " distance_ms=" << milliseconds(spill.distanceTo(spill.indexOf(item.zone)));
+        m_logger.emit(events::flowsLeftZone, line.str());
+    }
+}
+
 template <packet_format Format>
 void balancer_service<Format>::maintain(monotonic_time now)
 {
     m_sweptAt = now;
     m_router.sweep(now);
+    reportDepartures(now);
     if (auto const seeds = m_seedSource()) {
         m_control.setSeeds(*seeds);
         m_logger.emit(events::settingsReloaded, "seeds=" + std::to_string(seeds->size()));
--- a/Services/Fleet/fleet_settings.h
+++ b/Services/Fleet/fleet_settings.h
@@ -47,6 +47,8 @@
     uint32_t toleratedLosses = 1;
     /// How often backend servers announce themselves.
     duration announcementInterval = std::chrono::seconds(1);
+    /// Additional response time that callers accept so that one kilobyte need not pass between availability zones.
+    duration zoneTransferCostPerKilobyte = std::chrono::microseconds(250);
     /// Time from the request to stop until the process is killed.
     duration terminationGrace = std::chrono::seconds(6);
     auto operator<=>(fleet_settings const&) const = default;
--- a/Tests/Platform/test_bodies.cpp
+++ b/Tests/Platform/test_bodies.cpp
@@ -292,6 +292,34 @@
     BOOST_TEST(settings->zone == (row.name == std::string("zone") ? "Li\xc3\xa8ge" : "a"));
 }
 
+struct variable_row {
+    char const* value;
+    std::optional<int64_t> microseconds;
+};
+std::ostream& operator<<(std::ostream& stream, variable_row const& row) { return stream << row.value; }
+
+variable_row const variableRows[] = {
+    { "0", 0 },
+    { "1000000", 1'000'000 },
+    { "1000001", std::nullopt },
+    { "-1", std::nullopt },
+    { "0.5", std::nullopt },
+    { "", std::nullopt },
+    { "nan", std::nullopt },
+};
+
+// Guards against a cost of bytes between zones that is taken as another one than the operator wrote.
+BOOST_DATA_TEST_CASE(the_cost_of_bytes_between_zones_is_checked, variableRows, row)
+{
+    fleet_settings settings;
+    setenv(zoneTransferCostVariable, row.value, 1);
+    auto const status = applyEnvironment(settings);
+    unsetenv(zoneTransferCostVariable);
+    BOOST_TEST(status.ok() == row.microseconds.has_value());
+    if (row.microseconds)
+        BOOST_CHECK(settings.zoneTransferCostPerKilobyte == std::chrono::microseconds(*row.microseconds));
+}
+
 // Guards against a process that starts with invalid settings.
 BOOST_DATA_TEST_CASE(invalid_settings_are_rejected, settingsRows, row)
 {
