--- a/Libraries/Base/log_event.cpp
+++ b/Libraries/Base/log_event.cpp
@@ -24,6 +24,7 @@
         events::linkLoaded,
         events::serverTrustLost,
         events::serverTrustRegained,
+        events::flowsLeftZone,
         events::tableChanged,
         events::serverJoined,
         events::serverLeaseExpired,
--- a/Libraries/Base/log_event.h
+++ b/Libraries/Base/log_event.h
@@ -41,6 +41,7 @@
     inline constexpr log_event linkLoaded { 215, log_severity::Information, "link_loaded" };
     inline constexpr log_event serverTrustLost { 220, log_severity::Warning, "server_trust_lost" };
     inline constexpr log_event serverTrustRegained { 221, log_severity::Information, "server_trust_regained" };
+    inline constexpr log_event flowsLeftZone { 225, log_severity::Information, "flows_left_zone" };
     inline constexpr log_event tableChanged { 300, log_severity::Information, "table_changed" };
     inline constexpr log_event serverJoined { 400, log_severity::Information, "server_joined" };
     inline constexpr log_event serverLeaseExpired { 401, log_severity::Warning, "server_lease_expired" };
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -101,7 +101,7 @@
     return flow;
 }
 
-void flow_observer::recordHandshake(caller_packet const& packet, uint32_t token, monotonic_time now)
+void flow_observer::recordHandshake(caller_packet const& packet, uint32_t token, request_kind kind, monotonic_time now)
 {
     auto entry = m_flows.find(packet.flowEndpoints);
     if (entry == m_flows.end()) {
@@ -110,12 +110,15 @@
         entry = m_flows.emplace(packet.flowEndpoints, observed_flow()).first;
     } else if (entry->second.token == token && entry->second.state == phase::Opening) {
         entry->second.lastPacketAt = now;
+        entry->second.hasRepeatedHandshake = true;
         return;
     } else {
         finishRequest(entry->second, packet.flowEndpoints.service, now);
         removeFromLoad(entry->second);
     }
     entry->second = createFlow(token, phase::Opening, packet.sequence + 1, now);
+    entry->second.kind = kind;
+    entry->second.hasRepeatedHandshake = packet.retransmissionCount > 0;
 }
 
 void flow_observer::recordRefusal(caller_packet const& packet, monotonic_time now)
@@ -180,6 +183,7 @@
     if (packet.purpose != packet_purpose::Continue) {
         recordEnd(flow);
         finishRequest(flow, packet.flowEndpoints.service, now);
+        recordRequestBytes(flow, packet);
         removeFromLoad(flow);
         m_flows.erase(entry);
     }
@@ -205,9 +209,13 @@
     if (!backend)
         return;
     m_pool.recordAcknowledgement(*backend, now);
-    // Measured from the end of the request: the time that the caller takes to send it is not the server's.
-    if (isResponse)
+    if (isResponse) {
+        flow.hasResponse = true;
+        // Measured from the end of the request: the time that the caller takes to send it is not the server's.
         flow.responseTime = now - flow.sentAt;
+    } else if (!flow.hasRepeatedHandshake) {
+        m_pool.spill().recordHandshakeTime(backend->zoneIndex, now - flow.openedAt);
+    }
 }
 
 void flow_observer::countWholeResponse(observed_flow& flow, ip_endpoint const& route, monotonic_time now)
@@ -220,7 +228,7 @@
         return;
     flow.record = observed_flow::request_record::Counted;
     if (auto* const backend = m_pool.find(flow.token))
-        m_pool.recordResponse(*backend, { look, flow.responseTime }, now);
+        m_pool.recordResponse(*backend, { look, flow.responseTime, flow.kind }, now);
 }
 
 void flow_observer::finishRequest(observed_flow& flow, ip_endpoint const& route, monotonic_time now)
@@ -239,6 +247,17 @@
             { response_look::Conspicuous, isAnswered ? std::optional(flow.responseTime) : std::nullopt }, now);
 }
 
+void flow_observer::recordRequestBytes(observed_flow& flow, caller_packet const& packet)
+{
+    auto const* const backend = m_pool.find(flow.token);
+    if (!std::exchange(flow.hasResponse, false) || !flow.kind || !backend)
+        return;
+    auto const received = packet.acknowledgement - flow.requestAcknowledgement;
+    if (isAfter(packet.acknowledgement, flow.requestAcknowledgement))
+        m_pool.spill().recordRequestBytes(
+            backend->entry.announcement.service, *flow.kind, received + (flow.sentEnd - flow.requestSequence));
+}
+
 bool flow_observer::recordData(observed_flow& flow, caller_packet const& packet, monotonic_time now)
 {
     if (packet.payloadBytes == 0)
@@ -258,6 +277,10 @@
         }
         return true;
     }
+    if (flow.state == phase::Idle) {
+        recordRequestBytes(flow, packet);
+        flow.requestSequence = flow.sentEnd;
+    }
     flow.sentEnd = end;
     flow.sentAt = flow.transmittedAt = now;
     flow.repeatedSequence.reset();
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -151,7 +151,7 @@
             return refusal;
         }
         auto const importance = importanceOf(service, route->second);
-        backend = m_pool.select(service, route->second.kind, now, importance);
+        backend = m_pool.select(service, route->second.kind, now, importance, route->second.targetLatency);
         if (m_pool.hasLimitedServer(service, now)) {
             m_pool.warmUp().recordDemand(service);
             if (!backend && (hadServer || !mayRefuse))
@@ -173,7 +173,7 @@
         return reset(packet, reset_reason::NoServer, now);
     if (m_pool.isLimited(*backend, now))
         m_pool.warmUp().recordOpening(backend->token, backend->entry.announcement.service, now);
-    m_observer.recordHandshake(packet, backend->token, now);
+    m_observer.recordHandshake(packet, backend->token, route->second.kind, now);
     if (route->second.kind == request_kind::Upload)
         m_link.recordHandshake(packet.flowEndpoints, now);
     return forwardTo(*backend);
--- a/Services/Fleet/balancer_service.h
+++ b/Services/Fleet/balancer_service.h
@@ -56,6 +56,9 @@
     /// The use of the link is logged from this share of its rate in one direction.
     static constexpr double reportedLinkShare = 0.25;
     static constexpr duration sweepInterval = std::chrono::milliseconds(500);
+    static constexpr duration departureReportInterval = std::chrono::seconds(1);
+    /// Limits the lines about flows that left the zone in each report; the metrics count everything.
+    static constexpr size_t maximumDepartureLines = 32;
     /// Until routes and servers are known, packets stay in the socket buffer for up to this long after the start.
     /// Callers do not retransmit opening packets for longer.
     static constexpr duration initialPacketDelay = std::chrono::milliseconds(1'400);
@@ -71,6 +74,7 @@
         placement_settings result;
         result.announcementInterval = settings.announcementInterval;
         result.linkBytesPerSecond = settings.linkBytesPerSecond;
+        result.zoneSpill.transferCostPerKilobyte = settings.zoneTransferCostPerKilobyte;
         return result;
     }
 
@@ -89,6 +93,7 @@
         log_event const& event, caller_packet const& packet, uint32_t token, char const* outcome, monotonic_time now);
     /// @return What the decision to reset the flow was based on, for a log line.
     std::string evidenceOf(caller_packet const& packet, reset_flow const& reset, monotonic_time now);
+    void reportDepartures(monotonic_time now);
     void maintain(monotonic_time now);
     /// Updates metrics and logs what was rejected for the sake of servers that are warming up.
     void maintainWarmUp(monotonic_time now);
@@ -107,6 +112,7 @@
     bool m_isWithdrawn = false;
     monotonic_time m_startedAt;
     monotonic_time m_sweptAt;
+    monotonic_time m_departuresReportedAt;
     monotonic_time m_flushedAt;
     /// Use of the link since it was last reported.
     struct link_use {
@@ -369,12 +375,38 @@
     m_logger.emit(events::linkLoaded, line.str());
 }
 
+template <packet_format Format>
+void balancer_service<Format>::reportDepartures(monotonic_time now)
+{
+    if (now - m_departuresReportedAt < departureReportInterval)
+        return;
+    m_departuresReportedAt = now;
+    auto const milliseconds = [](duration value) { return std::chrono::duration<double, std::milli>(value).count(); };
+    auto& spill = m_router.pool().spill();
+    size_t lineCount = 0;
+    for (auto const& item : spill.drainDepartures()) {
+        std::string const kind = nameOf(item.kind);
+        m_metrics.counter("flows_left_zone_" + kind + "_total").add(item.flows);
+        m_metrics.counter("flows_left_zone_" + kind + "_bytes_total").add(item.bytes);
+        if (lineCount++ >= maximumDepartureLines)
+            continue;
+        std::ostringstream line;
+        line << "service=" << item.service << " kind=" << kind << " zone=" << item.zone << " flows=" << item.flows
+             << " bytes=" << item.bytes << " share=" << item.comparison.share
+             << " own_ms=" << milliseconds(item.comparison.ownTime)
+             << " remote_ms=" << milliseconds(item.comparison.remoteTime)
+             << " distance_ms=" << milliseconds(spill.distanceTo(spill.indexOf(item.zone)));
+        m_logger.emit(events::flowsLeftZone, line.str());
+    }
+}
+
 template <packet_format Format>
 void balancer_service<Format>::maintain(monotonic_time now)
 {
     m_sweptAt = now;
     m_router.sweep(now);
     reportLink(now);
+    reportDepartures(now);
     if (auto const seeds = m_seedSource()) {
         m_control.setSeeds(*seeds);
         m_logger.emit(events::settingsReloaded, "seeds=" + std::to_string(seeds->size()));
--- a/Services/Fleet/fleet_settings.h
+++ b/Services/Fleet/fleet_settings.h
@@ -49,6 +49,8 @@
     duration announcementInterval = std::chrono::seconds(1);
     /// Rate of the host's link; 0 if unknown.
     uint64_t linkBytesPerSecond = 0;
+    /// Additional response time that callers accept so that one kilobyte need not pass between availability zones.
+    duration zoneTransferCostPerKilobyte = std::chrono::microseconds(250);
     /// Time from the request to stop until the process is killed.
     duration terminationGrace = std::chrono::seconds(6);
     /// Requests that a server may receive in any second of its warm-up: a multiple of what its service states, plus a
