Fleet: Request the evacuated zones when the first routes are dropped

The first configuration of a deployment reached waiting balancers before they had heard of it in a hello response, so they dropped it until their next hello message, up to 300 ms later.

--- a/Services/Fleet/balancer_control.cpp
+++ b/Services/Fleet/balancer_control.cpp
@@ -225,7 +225,7 @@
 {
     // Without routes no flow is placed. Those that are dropped here are requested with the next hello response.
     if (!m_knowsEvacuations)
-        return;
+        return requestEvacuations(sender, now);
     auto const previousVersion = m_router.version();
     auto const version = table.version;
     auto const count = table.routes.size();
--- a/Tests/Fleet/test_evacuation_orders.cpp
+++ b/Tests/Fleet/test_evacuation_orders.cpp
@@ -86,6 +86,20 @@
     BOOST_CHECK(probe.router.pool().evacuations() == row.evacuations);
 }
 
+// Guards against a balancer that waits for its next hello message when the first configuration of a deployment arrives.
+BOOST_FIXTURE_TEST_CASE(dropped_routes_make_the_balancer_ask_for_the_zones_at_once, control_fixture)
+{
+    auto controlHost = peer_channel::create({ addressOf(1), 27'921 }).value();
+    balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
+    probe.control.receive({ addressOf(1), 27'921 }, responseOf(0, 0), bootTime());
+    probe.control.receive({ addressOf(1), 27'921 }, tableOf(5), bootTime());
+    std::this_thread::sleep_for(milliseconds(50));
+    bool isEmpty = false;
+    auto const message = controlHost.receive(bootTime(), isEmpty);
+    BOOST_REQUIRE(message);
+    BOOST_CHECK(std::holds_alternative<hello_message>(message->message));
+}
+
 struct unknown_row {
     char const* name;
     std::string zone;
