--- a/Tests/Fleet/test_evacuation_orders.cpp
+++ b/Tests/Fleet/test_evacuation_orders.cpp
@@ -92,9 +92,13 @@
     auto controlHost = peer_channel::create({ addressOf(1), 27'921 }).value();
     balancer_probe probe(settingsOf(9, { 1 }, host_role::Balancer));
     probe.control.receive({ addressOf(1), 27'921 }, responseOf(0, 0), bootTime());
-    probe.control.receive({ addressOf(1), 27'921 }, tableOf(5), bootTime());
+    // The balancer has requested the servers.
     std::this_thread::sleep_for(milliseconds(50));
     bool isEmpty = false;
+    while (!isEmpty)
+        controlHost.receive(bootTime(), isEmpty);
+    probe.control.receive({ addressOf(1), 27'921 }, tableOf(5), bootTime());
+    std::this_thread::sleep_for(milliseconds(50));
     auto const message = controlHost.receive(bootTime(), isEmpty);
     BOOST_REQUIRE(message);
     BOOST_CHECK(std::holds_alternative<hello_message>(message->message));
