Placement: Grant parts of the limit to servers that started a short time ago

After a power loss of everything, or at the first announcement of a new server, no control host can have granted the whole limit. Waiting for 4.4 s there left cold servers without any flow, although nothing can be in use. A host that receives the first announcement grants half of the limit meanwhile, one that receives a later one a quarter.

Placement without grants fails the tests of single packets.

--- a/Libraries/Placement/warm_up_ledger.cpp
+++ b/Libraries/Placement/warm_up_ledger.cpp
@@ -9,8 +9,8 @@
 
     // A process that did not run for longer may read announcements that arrived much earlier.
     constexpr duration maximumActivityGap = std::chrono::milliseconds(1'200);
-    // The first announcements of an incarnation, including one whose response was lost.
-    constexpr uint64_t firstSequences = 2;
+    // A server that has sent more announcements has run for longer, and its warm-up may have begun again.
+    constexpr uint64_t firstSequences = 10;
     constexpr duration firstAnnouncementAge = std::chrono::milliseconds(500);
     // Flows that a balancer has reported may be open without packets for this long after it has stopped reporting.
     constexpr duration reportRetention = std::chrono::seconds(60);
@@ -31,6 +31,18 @@
 
 duration warm_up_ledger::takeoverDelay() const { return announcementTimeout() + m_times.chargePeriod(); }
 
+uint32_t warm_up_ledger::divisorOf(warm_up_announcement const& announcement) const
+{
+    auto const age = announcement.whole - announcement.remaining;
+    bool const isWarmingUp = announcement.remaining > duration::zero();
+    // Since the server has started, no host can have received its announcements for the whole delay. So another host
+    // may have granted a part of the limit at most: two hosts have the first announcement if its response was lost, or
+    // one has the first and others the next ones.
+    if (!isWarmingUp || announcement.sequence > firstSequences || age >= takeoverDelay())
+        return 0;
+    return age <= firstAnnouncementAge ? 2 : 4;
+}
+
 void warm_up_ledger::recordActivity(monotonic_time now)
 {
     bool const wasSuspended = m_activeAt != monotonic_time() && now - m_activeAt > maximumActivityGap;
@@ -39,7 +51,7 @@
         return;
     for (auto& [token, entry] : m_servers) {
         entry.exclusiveFrom = now + takeoverDelay();
-        entry.isNew = false;
+        entry.divisor = 0;
     }
 }
 
@@ -60,11 +72,10 @@
         entry.startedAtMs = announcement.startedAtMs;
         // The flows of the earlier incarnation have ended. Grants that are still in use may reach the new one.
         entry.reports.clear();
-        entry.isNew = announcement.sequence <= firstSequences && isWarmingUp
-            && announcement.remaining + firstAnnouncementAge >= announcement.whole;
+        entry.divisor = divisorOf(announcement);
     }
     if (beginsAgain)
-        entry.isNew = false;
+        entry.divisor = 0;
     if (!isContinued || beginsAgain)
         entry.exclusiveFrom = now + takeoverDelay();
     entry.limit = limit;
@@ -101,10 +112,9 @@
     // one at least.
     auto largest = whole(limit.requestsPerSecond * limit.excess + limit.slack);
     auto borne = std::max(whole(limit.requestsPerSecond * seconds(m_times.chargePeriod())), uint32_t { 1 });
-    // Two hosts may have received the first announcement, when its response was lost.
     if (now < entry.exclusiveFrom) {
-        largest /= 2;
-        borne = (borne + 1) / 2;
+        largest /= entry.divisor;
+        borne = (borne + entry.divisor - 1) / entry.divisor;
     }
     auto const charged = chargedRequests(entry, now);
     auto const remainder = [](uint32_t from, uint32_t used) { return from - std::min(from, used); };
@@ -132,7 +142,7 @@
     if (now - entry.announcedAt > announcementTimeout())
         return std::nullopt;
     warm_up_grant result { demand.token, 0, std::max(entry.warmUpEndsAt - now, duration::zero()) };
-    if (now < entry.exclusiveFrom && !entry.isNew) {
+    if (now < entry.exclusiveFrom && entry.divisor == 0) {
         m_deferredCount += demand.wanted;
         return result;
     }
--- a/Libraries/Placement/warm_up_ledger.h
+++ b/Libraries/Placement/warm_up_ledger.h
@@ -76,8 +76,8 @@
         monotonic_time warmUpEndsAt;
         /// When grants of any other host have ended, and all balancers had time to report their flows.
         monotonic_time exclusiveFrom;
-        /// Whether the incarnation has first announced itself here or, if that call was repeated, at one other host.
-        bool isNew = false;
+        /// Part of the limit that may be granted before `exclusiveFrom` is its reciprocal; 0 for nothing.
+        uint32_t divisor = 0;
         std::vector<charge> charges;
         std::map<ip_endpoint, flow_report> reports;
     };
@@ -91,6 +91,8 @@
     /// @return How long after its last announcement a server still counts as announcing itself here.
     duration announcementTimeout() const { return 3 * m_announcementInterval / 2; }
     duration takeoverDelay() const;
+    /// @param announcement The first one of its server's incarnation that was received here.
+    uint32_t divisorOf(warm_up_announcement const& announcement) const;
     /// Removes charges and reports that have ended.
     charged_requests chargedRequests(server& entry, monotonic_time now) const;
     /// @return Requests that may be granted now.
