Placement: Bound the wait on the link by the shortest target latency

Cause: with windows for 200 ms on the link, handshake and request of other flows wait there one after the other and miss a target of 300 ms. The bound is the shorter of 200 ms and a third of the shortest target latency of the other routes in use. The test with a target of 300 ms failed on a fraction of a floating-point number first; the bound is an integer division.

--- a/Libraries/Placement/link_budget.cpp
+++ b/Libraries/Placement/link_budget.cpp
@@ -23,7 +23,14 @@
 uint64_t link_budget::room() const
 {
     auto const rate = std::max(static_cast<double>(m_limits.bytesPerSecond) - m_otherBytesPerSecond, 0.0);
-    return static_cast<uint64_t>(rate * seconds(m_limits.retransmissionInterval));
+    return static_cast<uint64_t>(rate * seconds(maximumWait()));
+}
+
+duration link_budget::maximumWait() const
+{
+    if (m_targetLatencies.empty())
+        return m_limits.retransmissionInterval;
+    return std::min(m_limits.retransmissionInterval, m_targetLatencies.begin()->first / m_limits.targetLatencyParts);
 }
 
 uint32_t link_budget::usualReservation(ip_endpoint const& service) const
@@ -117,8 +124,10 @@
         std::min(std::max(usualReservation(packet.flowEndpoints.service), state.receivedBytes), windowBytes()));
 }
 
-void link_budget::recordTraffic(size_t bytes, monotonic_time now)
+void link_budget::recordTraffic(size_t bytes, duration targetLatency, monotonic_time now)
 {
+    if (targetLatency > duration::zero())
+        m_targetLatencies[targetLatency] = now;
     m_otherBytes += bytes;
     if (now - m_countedSince < samplingInterval)
         return;
@@ -130,6 +139,7 @@
 
 void link_budget::sweep(monotonic_time now)
 {
+    std::erase_if(m_targetLatencies, [&](auto const& target) { return now - target.second > m_limits.routeTimeout; });
     for (auto flow = m_flows.begin(); flow != m_flows.end();)
         flow = now - flow->second.lastPacketAt > m_limits.flowTimeout ? end(flow) : std::next(flow);
 }
--- a/Libraries/Placement/link_budget.h
+++ b/Libraries/Placement/link_budget.h
@@ -18,6 +18,11 @@
     uint32_t packetBytes = 1'244;
     /// After this time callers send a packet again that is still waiting.
     duration retransmissionInterval = std::chrono::milliseconds(200);
+    /// A packet may wait for the shortest target latency divided by this: the handshake and the request of a new flow
+    /// wait one after the other, and as much is left for the server.
+    int targetLatencyParts = 3;
+    /// A route without a packet for longer does not count.
+    duration routeTimeout = std::chrono::seconds(10);
     /// A flow without a packet for longer has ended or moved: callers that wait repeat a packet sooner.
     duration flowTimeout = std::chrono::milliseconds(2'000);
     auto operator<=>(link_limits const&) const = default;
@@ -27,8 +32,9 @@
 ///
 /// Each open flow may have a window of packets on the way. When the windows of all flows need longer on the link than
 /// callers wait before they send a packet again, the link carries packets twice, its queue grows further, and the
-/// packets of all other flows wait in it. So windows are admitted only up to what the link carries in that time. A
-/// caller that is refused opens another flow, which may pass through a balancer that has room.
+/// packets of all other flows wait in it. So windows are admitted only up to what the link carries in that time, or in
+/// the time that leaves other routes within their target latencies. A caller that is refused opens another flow, which
+/// may pass through a balancer that has room.
 class link_budget {
 public:
     explicit link_budget(link_limits const& limits);
@@ -46,8 +52,9 @@
     /// Records any other packet of such a flow.
     void recordPacket(caller_packet const& packet, monotonic_time now);
 
-    /// Records bytes of any packet that has been received and forwarded.
-    void recordTraffic(size_t bytes, monotonic_time now);
+    /// Records a packet of any other flow.
+    /// @param targetLatency Of the flow's route; zero if it has none.
+    void recordTraffic(size_t bytes, duration targetLatency, monotonic_time now);
 
     /// Removes flows that have ended without a packet that says so.
     void sweep(monotonic_time now);
@@ -56,6 +63,8 @@
     uint64_t bytesOnTheWay() const { return m_bytesOnTheWay; }
     /// @return Bytes that may be on the way.
     uint64_t room() const;
+    /// @return Time that a packet may wait on the link.
+    duration maximumWait() const;
     size_t flows() const { return m_flows.size(); }
 
 private:
@@ -82,6 +91,8 @@
     flow_map m_flows;
     uint64_t m_bytesOnTheWay = 0;
     std::map<ip_address, uint64_t> m_bytesOfCallers;
+    /// When a packet of a route with this target latency was last received.
+    std::map<duration, monotonic_time> m_targetLatencies;
     /// Smoothed size of a request, by route.
     std::map<ip_endpoint, double> m_requestBytes;
     /// Smoothed rate of the packets of all other flows.
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -172,16 +172,16 @@
     if (!m_link.isLimited())
         return;
     auto const* const route = routeOf(packet.flowEndpoints);
-    if (route && route->kind == request_kind::Upload)
+    if (!route || route->kind != request_kind::Upload)
+        m_link.recordTraffic(packet.payloadBytes + overheadBytes, route ? route->targetLatency : duration::zero(), now);
+    else if (packet.purpose != packet_purpose::Open)
         m_link.recordPacket(packet, now);
-    else
-        m_link.recordTraffic(packet.payloadBytes + overheadBytes, now);
 }
 
 packet_decision token_router::decide(caller_packet const& packet, monotonic_time now)
 {
     if (packet.purpose == packet_purpose::Open) {
-        m_link.recordTraffic(overheadBytes, now);
+        recordOnLink(packet, now);
         return open(packet, now);
     }
     auto const token = packet.token != noToken ? packet.token : m_observer.serverTokenOf(packet.flowEndpoints);
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -98,7 +98,7 @@
     packet_decision open(caller_packet const& packet, monotonic_time now);
     /// @return The route of a flow; nullptr if there is none.
     service_route const* routeOf(flow_endpoints const& flowEndpoints) const;
-    /// Tells the link budget about a packet of an open flow.
+    /// Tells the link budget about a packet. Handshakes of uploads are recorded when they are admitted.
     void recordOnLink(caller_packet const& packet, monotonic_time now);
     /// @return Whether the caller may repeat the request of the packet's flow at another server.
     bool mayRepeatRequest(caller_packet const& packet) const;
--- a/Tests/Placement/test_link_budget.cpp
+++ b/Tests/Placement/test_link_budget.cpp
@@ -185,10 +185,37 @@
     auto const unloaded = load.budget.room();
     for (int step = 0; step < 1'000; ++step) {
         load.advance(10);
-        load.budget.recordTraffic(3'312, load.now);
+        load.budget.recordTraffic(3'312, duration::zero(), load.now);
     }
     BOOST_TEST(load.budget.room() < unloaded * 6 / 10);
     BOOST_TEST(load.budget.room() > unloaded * 4 / 10);
 }
 
+struct target_row {
+    char const* name;
+    int targetMs;
+    int ageMs;
+    int expectedWaitMs;
+};
+std::ostream& operator<<(std::ostream& stream, target_row const& row) { return stream << row.name; }
+
+target_row const targetRows[] = {
+    { "no target", 0, 0, 200 },
+    { "target of 300 ms", 300, 0, 100 },
+    { "target that allows more than a retransmission", 3'000, 0, 200 },
+    { "target of a route that is no longer used", 300, 11'000, 200 },
+};
+
+// Mixed load: small requests of a route with a short target latency share the link with uploads.
+BOOST_DATA_TEST_CASE(uploads_leave_other_routes_their_target_latency, targetRows, row)
+{
+    link_load load(662'500);
+    load.budget.recordTraffic(44, std::chrono::milliseconds(row.targetMs), load.now);
+    load.budget.recordTraffic(44, std::chrono::milliseconds(5'000), load.now);
+    load.advance(row.ageMs);
+    load.budget.recordTraffic(44, std::chrono::milliseconds(5'000), load.now);
+    load.budget.sweep(load.now);
+    BOOST_CHECK(load.budget.maximumWait() == std::chrono::milliseconds(row.expectedWaitMs));
+}
+
 } // namespace
