Placement: Take long silence as evidence about a server

A server's reset of a flow and a response that never comes do not pass the balancer: such flows were removed after 10 s, when it was too late. A request without a response for 8 usual response times of its route, and for 700 ms at least, is conspicuous now. Also fixes the score of a server whose service has no other requests: it was no number and passed the comparison, so that first failures took trust away (seen in a trace: 10 servers in the first second).

--- a/Libraries/Placement/failure_evidence.cpp
+++ b/Libraries/Placement/failure_evidence.cpp
@@ -38,20 +38,30 @@
 
     double shareOf(request_counts const& counts) { return counts.conspicuous / counts.total(); }
 
+    template <typename Value>
+    Value upperQuartile(std::vector<Value> values)
+    {
+        auto const quartile = values.begin() + static_cast<std::ptrdiff_t>(values.size() * 3 / 4);
+        std::nth_element(values.begin(), quartile, values.end());
+        return *quartile;
+    }
+
 } // namespace
 
-void usual_response::record(uint32_t bytes)
+void usual_response::record(uint32_t bytes, duration time)
 {
-    if (m_samples.size() < maximumSamples)
-        m_samples.push_back(bytes);
-    else
-        m_samples[m_next++ % maximumSamples] = bytes;
-    if (m_samples.size() < minimumSamples)
+    if (m_sizes.size() < maximumSamples) {
+        m_sizes.push_back(bytes);
+        m_times.push_back(time);
+    } else {
+        auto const index = m_next++ % maximumSamples;
+        m_sizes[index] = bytes;
+        m_times[index] = time;
+    }
+    if (m_sizes.size() < minimumSamples)
         return;
-    auto sorted = m_samples;
-    auto const quartile = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() * 3 / 4);
-    std::nth_element(sorted.begin(), quartile, sorted.end());
-    m_bytes = *quartile;
+    m_bytes = upperQuartile(m_sizes);
+    m_time = upperQuartile(m_times);
 }
 
 request_counts decaying_counts::at(failure_evidence_settings const& settings, monotonic_time now) const
@@ -85,12 +95,15 @@
         addTo(remaining, server.counts);
     std::vector<outlier_score> scores;
     for (auto const& [token, counts] : servers) {
-        auto const others = remaining - counts;
+        auto others = remaining - counts;
+        // What is left of a difference of fractions.
+        if (others.total() < negligibleCount)
+            others = {};
         auto const othersShare
             = others.total() > 0 ? std::max(settings.normalShare, shareOf(others)) : settings.normalShare;
         auto const share = shareOf(counts);
         outlier_score result { token, counts, othersShare, 0 };
-        if (share > othersShare) {
+        if (share > othersShare && others.total() > 0) {
             auto const common = (counts.conspicuous + othersShare * others.total()) / (counts.total() + others.total());
             result.score
                 = counts.total() * divergence(share, common) + others.total() * divergence(othersShare, common);
@@ -116,9 +129,18 @@
                                                                               : response_look::Conspicuous;
 }
 
-void failure_evidence::recordSize(ip_endpoint const& route, uint32_t responseBytes)
+bool failure_evidence::isSilent(ip_endpoint const& route, duration withoutResponse) const
+{
+    auto const usual = m_usual.find(route);
+    if (usual == m_usual.end() || usual->second.bytes() == 0)
+        return false;
+    return withoutResponse > m_settings.minimumSilence
+        && seconds(withoutResponse) > m_settings.silentResponseTimes * seconds(usual->second.time());
+}
+
+void failure_evidence::recordUsual(ip_endpoint const& route, uint32_t responseBytes, duration time)
 {
-    m_usual[route].record(responseBytes);
+    m_usual[route].record(responseBytes, time);
 }
 
 void failure_evidence::record(uint32_t token, response_look look, monotonic_time now)
@@ -237,7 +259,7 @@
                 { trust_change::direction::Regained, score, limit, current.from, --untrusted, ready.size() });
             continue;
         }
-        if (score.score < limit || shareOf(score.counts) - score.othersShare < m_settings.minimumExcess)
+        if (!(score.score >= limit) || shareOf(score.counts) - score.othersShare < m_settings.minimumExcess)
             continue;
         if (static_cast<double>(untrusted + 1) > m_settings.maximumUntrustedShare * static_cast<double>(ready.size()))
             continue;
--- a/Libraries/Placement/failure_evidence.h
+++ b/Libraries/Placement/failure_evidence.h
@@ -74,27 +74,35 @@
     /// A response is conspicuous below this part of the usual size.
     double usualSizeShare = 0.5;
     /// Over all balancers, one probe of an untrusted server in this time.
+    /// A request without a response is conspicuous after this multiple of the route's usual response time.
+    double silentResponseTimes = 8;
+    /// The least time for that: two retransmissions of a lost packet, after 200 ms and 400 ms, and the way.
+    duration minimumSilence = std::chrono::milliseconds(700);
     duration probeInterval = std::chrono::milliseconds(1'000);
     /// Sums of a control host are ignored when they are older.
     duration sharedExpiry = std::chrono::milliseconds(3'000);
     auto operator<=>(failure_evidence_settings const&) const = default;
 };
 
-/// The usual size of the responses of a route.
+/// The usual size and time of the responses of a route.
 class usual_response {
 public:
-    void record(uint32_t bytes);
+    void record(uint32_t bytes, duration time);
     /// @return The upper quartile of the recent sizes; 0 while there are too few. Short responses of failing servers
     ///     are a minority, and do not change it.
     uint32_t bytes() const { return m_bytes; }
+    /// @return The upper quartile of the recent times; zero while there are too few.
+    duration time() const { return m_time; }
 
 private:
     static constexpr size_t minimumSamples = 8;
     static constexpr size_t maximumSamples = 32;
 
-    std::vector<uint32_t> m_samples;
+    std::vector<uint32_t> m_sizes;
+    std::vector<duration> m_times;
     size_t m_next = 0;
     uint32_t m_bytes = 0;
+    duration m_time {};
 };
 
 /// Counts that decay with time and with further requests.
@@ -156,8 +164,11 @@
     /// @param responseBytes Bytes of the response that the caller has acknowledged so far.
     /// @return Conspicuous if the response would be too short if it ended here.
     response_look lookOf(ip_endpoint const& route, uint32_t responseBytes) const;
-    /// Records the size of a response that has ended.
-    void recordSize(ip_endpoint const& route, uint32_t responseBytes);
+    /// @return Whether a request of the route has been without a response for so long that this is conspicuous.
+    bool isSilent(ip_endpoint const& route, duration withoutResponse) const;
+    /// Records a response that has ended.
+    /// @param time From the request to the first byte of the response.
+    void recordUsual(ip_endpoint const& route, uint32_t responseBytes, duration time);
     /// Counts a finished request; Unknown has no effect.
     void record(uint32_t token, response_look look, monotonic_time now);
     /// Replaces the sums of one control host.
--- a/Libraries/Placement/flow_observer.cpp
+++ b/Libraries/Placement/flow_observer.cpp
@@ -204,17 +204,29 @@
 
 void flow_observer::countWholeResponse(observed_flow& flow, ip_endpoint const& route, monotonic_time now)
 {
-    if (flow.record != observed_flow::request_record::Uncounted || flow.state != phase::Idle)
+    using enum observed_flow::request_record;
+    if ((flow.record != Uncounted && flow.record != Silent) || flow.state != phase::Idle)
         return;
     auto const bytes = flow.acknowledged - flow.requestAcknowledgement;
-    auto const look = m_pool.evidence().lookOf(route, bytes);
+    auto look = m_pool.evidence().lookOf(route, bytes);
     if (look == response_look::Conspicuous)
         return;
-    flow.record = observed_flow::request_record::Counted;
+    if (std::exchange(flow.record, Counted) == Silent)
+        look = response_look::Unknown;
     if (auto* const backend = m_pool.find(flow.token))
         m_pool.recordResponse(*backend, { look, flow.responseTime }, now);
 }
 
+void flow_observer::countSilence(observed_flow& flow, ip_endpoint const& route, monotonic_time now)
+{
+    if (flow.state != phase::Busy || flow.record != observed_flow::request_record::Uncounted
+        || !m_pool.evidence().isSilent(route, now - flow.sentAt))
+        return;
+    flow.record = observed_flow::request_record::Silent;
+    if (auto* const backend = m_pool.find(flow.token))
+        m_pool.recordResponse(*backend, { response_look::Conspicuous }, now);
+}
+
 void flow_observer::finishRequest(observed_flow& flow, ip_endpoint const& route, monotonic_time now)
 {
     auto const record = std::exchange(flow.record, observed_flow::request_record::None);
@@ -223,8 +235,8 @@
     auto const bytes = flow.acknowledged - flow.requestAcknowledgement;
     bool const isAnswered = flow.state == phase::Idle;
     if (isAnswered)
-        m_pool.evidence().recordSize(route, bytes);
-    if (record == observed_flow::request_record::Counted)
+        m_pool.evidence().recordUsual(route, bytes, flow.responseTime);
+    if (record != observed_flow::request_record::Uncounted)
         return;
     if (auto* const backend = m_pool.find(flow.token))
         m_pool.recordResponse(*backend,
@@ -276,11 +288,13 @@
             timeout = m_settings.handshakeTimeout;
         else if (flow.state == phase::Busy)
             timeout = m_settings.requestTimeout;
+        countSilence(flow, entry->first.service, now);
         if (now - flow.lastPacketAt <= timeout) {
             ++entry;
             continue;
         }
-        finishRequest(flow, entry->first.service, now);
+        // Without any usual response, it cannot be judged after all this time.
+        flow.record = observed_flow::request_record::None;
         removeFromLoad(flow);
         entry = m_flows.erase(entry);
     }
--- a/Libraries/Placement/flow_observer.h
+++ b/Libraries/Placement/flow_observer.h
@@ -86,6 +86,8 @@
             None,
             /// Its response does not look whole yet, so it has not been counted.
             Uncounted,
+            /// Counted as conspicuous, since there was no response for long. It may still come.
+            Silent,
             Counted,
         };
         request_record record = request_record::None;
@@ -102,6 +104,8 @@
     void recordProgress(observed_flow& flow, caller_packet const& packet, monotonic_time now);
     /// Counts the flow's request as soon as its response looks whole.
     void countWholeResponse(observed_flow& flow, ip_endpoint const& route, monotonic_time now);
+    /// Counts the flow's request if it has been without a response for too long.
+    void countSilence(observed_flow& flow, ip_endpoint const& route, monotonic_time now);
     /// Counts the flow's request, which gets no more bytes of a response.
     void finishRequest(observed_flow& flow, ip_endpoint const& route, monotonic_time now);
     /// @return Whether the caller has sent the data before and still waits for a response.
