--- a/Tests/Placement/test_failure_evidence.cpp
+++ b/Tests/Placement/test_failure_evidence.cpp
@@ -3,6 +3,7 @@
 #include <Placement/failure_evidence.h>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <ostream>
 #include <random>
 #include <vector>
@@ -317,11 +318,16 @@
     for (int count = 0; count < 40; ++count)
         runRequest(fixture, caller++, placement_fixture::nonIdempotentPort, 0);
     auto const mute = placement_fixture::tokenOf(1);
+    // Concurrent requests, so that the mute server gets several before its load keeps others away.
+    std::map<uint16_t, uint32_t> flows;
     for (int count = 0; count < 60; ++count) {
         auto const token = fixture.openEstablished(++caller, placement_fixture::nonIdempotentPort);
         fixture.request(caller, token, 5'001, placement_fixture::nonIdempotentPort);
-        fixture.advance(20);
-        auto packet = fixture.packetOf(caller, placement_fixture::nonIdempotentPort);
+        flows[caller] = token;
+    }
+    fixture.advance(20);
+    for (auto const& [waiting, token] : flows) {
+        auto packet = fixture.packetOf(waiting, placement_fixture::nonIdempotentPort);
         packet.token = token;
         packet.sequence = 1'101;
         packet.acknowledgement = 7'001;
@@ -329,10 +335,8 @@
         // Callers of the mute server wait.
         if (token != mute)
             fixture.router.decide(packet, fixture.now);
-        if (count % 25 == 0)
-            fixture.router.sweep(fixture.now);
     }
-    fixture.advance(700);
+    fixture.advance(701);
     fixture.router.sweep(fixture.now);
     fixture.router.pool().select("orders", request_kind::NonIdempotent, fixture.now);
     BOOST_TEST(fixture.router.pool().evidence().untrustedCount() == 1u);
