--- a/Libraries/Placement/zone_spill.cpp
+++ b/Libraries/Placement/zone_spill.cpp
@@ -116,8 +116,7 @@
 {
     if (zone == 0)
         return 0;
-    auto const initial
-        = kind == request_kind::Download ? m_settings.initialRemoteDownloadCost : m_settings.initialRemoteCost;
+    auto const initial = isLargeTransfer(kind) ? m_settings.initialRemoteTransferCost : m_settings.initialRemoteCost;
     auto const state = m_services.find(service);
     if (state == m_services.end())
         return initial;
--- a/Libraries/Placement/zone_spill_settings.h
+++ b/Libraries/Placement/zone_spill_settings.h
@@ -16,7 +16,7 @@
     double maximumRemoteCost = 3;
     /// The same until the response time of a kind of request has been measured.
     double initialRemoteCost = 0.7;
-    double initialRemoteDownloadCost = 1.5;
+    double initialRemoteTransferCost = 1.5;
     /// Share of the target latency below which nobody leaves. The slowest of a hundred responses take about ten times
     /// as long as the geometric mean.
     double targetShare = 0.1;
