Placement: Watch the link only where routes are for uploads

Every packet updated the rate of the link, also in deployments without a route for uploads, where nothing uses it. The note on the interval between probes stands at its setting again.

--- a/Libraries/Placement/failure_evidence.h
+++ b/Libraries/Placement/failure_evidence.h
@@ -73,11 +73,11 @@
     double maximumUntrustedShare = 0.5;
     /// A response is conspicuous below this part of the usual size.
     double usualSizeShare = 0.5;
-    /// Over all balancers, one probe of an untrusted server in this time.
     /// A request without a response is conspicuous after this multiple of the route's usual response time.
     double silentResponseTimes = 8;
     /// The least time for that: two retransmissions of a lost packet, after 200 ms and 400 ms, and the way.
     duration minimumSilence = std::chrono::milliseconds(700);
+    /// Over all balancers, one probe of an untrusted server in this time.
     duration probeInterval = std::chrono::milliseconds(1'000);
     /// Sums of a control host are ignored when they are older.
     duration sharedExpiry = std::chrono::milliseconds(3'000);
--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -70,6 +70,8 @@
     m_routes = std::move(table);
     m_pool.warmUp().setLimits(m_routes->services);
     m_lowestPriorities.clear();
+    m_hasUploads = std::any_of(m_routes->routes.begin(), m_routes->routes.end(),
+        [](auto const& item) { return item.second.kind == request_kind::Upload; });
     for (auto const& [address, route] : m_routes->routes) {
         for (auto const& target : route.services) {
             auto& last = m_lowestPriorities[m_routes->services.at(target.service).name];
@@ -195,7 +197,7 @@
 
 void token_router::recordOnLink(caller_packet const& packet, monotonic_time now)
 {
-    if (!m_link.isLimited())
+    if (!m_hasUploads || !m_link.isLimited())
         return;
     auto const* const route = routeOf(packet.flowEndpoints);
     if (!route || route->kind != request_kind::Upload)
--- a/Libraries/Placement/token_router.h
+++ b/Libraries/Placement/token_router.h
@@ -115,6 +115,8 @@
     backend_pool m_pool;
     flow_observer m_observer;
     link_budget m_link;
+    /// Whether any route is for uploads; without one, the use of the link decides nothing.
+    bool m_hasUploads = false;
     std::shared_ptr<route_table const> m_routes;
     /// By service, the priority of the least important route to it.
     std::map<std::string, uint32_t> m_lowestPriorities;
