--- a/Tests/Placement/test_server_choice.cpp
+++ b/Tests/Placement/test_server_choice.cpp
@@ -87,7 +87,8 @@
         }
         auto const balancer = random() % pools.size();
         auto& pool = pools[balancer];
-        auto server = numbers.at(pool.select("orders", request_kind::Idempotent, now, targetLatency)->token);
+        auto server = numbers.at(
+            pool.select("orders", request_kind::Idempotent, now, route_importance::Higher, targetLatency)->token);
         if (chosenBy == chooser::JoinShortestQueue)
             server = static_cast<int>(std::min_element(requests.begin(), requests.end()) - requests.begin());
         auto& backend = *pool.find(fixture.tokenOf(server));
