--- a/Libraries/Fleet/fleet_codec.cpp
+++ b/Libraries/Fleet/fleet_codec.cpp
@@ -377,6 +377,7 @@
         if (source.tokens_size() != source.whole_size() || source.tokens_size() != source.conspicuous_size())
             return makeError(error_kind::InvalidArgument, "the lists of counts differ in length");
         std::vector<server_counts> servers;
+        servers.reserve(static_cast<size_t>(source.tokens_size()));
         for (int index = 0; index < source.tokens_size(); ++index)
             servers.push_back(
                 { source.tokens(index), { fromTenths(source.whole(index)), fromTenths(source.conspicuous(index)) } });
--- a/Utilities/Operator/configuration_check.cpp
+++ b/Utilities/Operator/configuration_check.cpp
@@ -15,6 +15,7 @@
     document listOf(std::vector<std::string> const& lines)
     {
         std::vector<document> items;
+        items.reserve(lines.size());
         for (auto const& line : lines)
             items.push_back(document::text(line));
         return document::list(std::move(items));
