--- a/Libraries/Placement/token_router.cpp
+++ b/Libraries/Placement/token_router.cpp
@@ -139,19 +139,16 @@
         // A caller repeats a handshake packet unless it was refused, so another balancer may have forwarded the flow
         // to a server before. But a refused flow may have repetitions that were sent before the caller was notified.
         bool const mayRefuse = packet.retransmissionCount == 0 || m_observer.isRefused(packet.flowEndpoints);
-        bool const isUpload = route->second.kind == request_kind::Upload;
-        if (!hadServer && mayRefuse && isUpload && !m_link.admits(packet.flowEndpoints, now)) {
-            reset_flow const refusal { reset_reason::LinkFull, {},
-                m_observer.observationOf(packet.flowEndpoints, now) };
-            m_observer.recordRefusal(packet, now);
-            return refusal;
-        }
-        if (!hadServer && mayRefuse && !isAdmitted(packet, service, route->second, now)) {
-            reset_flow const refusal { reset_reason::Overloaded, m_pool.overload().lowerQuartileResponseTime(service),
-                m_observer.observationOf(packet.flowEndpoints, now) };
+        auto const refuse = [&](reset_reason reason, duration lowerQuartile) {
+            reset_flow const refusal { reason, lowerQuartile, m_observer.observationOf(packet.flowEndpoints, now) };
             m_observer.recordRefusal(packet, now);
             return refusal;
-        }
+        };
+        bool const isUpload = route->second.kind == request_kind::Upload;
+        if (!hadServer && mayRefuse && isUpload && !m_link.admits(packet.flowEndpoints, now))
+            return refuse(reset_reason::LinkFull, {});
+        if (!hadServer && mayRefuse && !isAdmitted(packet, service, route->second, now))
+            return refuse(reset_reason::Overloaded, m_pool.overload().lowerQuartileResponseTime(service));
         auto const importance = importanceOf(service, route->second);
         backend = m_pool.select(service, route->second.kind, now, importance, route->second.targetLatency);
         if (m_pool.hasLimitedServer(service, now)) {
