Add review case 7: a route's new service is passed over for used ports

Cause: the server of a new flow is looked up by its addresses and ports before the route's service is chosen, and a closed flow stays tracked after the client's last acknowledgement.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -307,7 +307,7 @@
     def __init__(self, seq, echo, expected):
         self.first, self.next, self.echo, self.expected = seq, seq + 1, echo, expected
         self.opened_at, self.touched_at = None, time.monotonic()
-        self.is_closed, self.response, self.repeat, self.is_busy = False, None, None, False
+        self.is_closed, self.response, self.repeat, self.is_busy, self.is_finished = False, None, None, False, False
 
 
 class Server:
@@ -418,9 +418,13 @@
             asyncio.ensure_future(self.run(key, flow, data))
         elif data and flow.response is not None:
             self.reply(key, ACK, flow, flow.expected, flow.response)
+        if flow.is_finished:
+            # The client's acknowledgement of the server's FIN.
+            self.drop(key)
+            return
         if flags & FIN:
             self.reply(key, ACK | FIN, flow, flow.expected + 1)
-            self.drop(key)
+            flow.is_finished = flow.is_closed = True
 
     def drop(self, key):
         flow = self.flows.pop(key, None)
@@ -518,11 +522,12 @@
                 return None
         return None
 
-    async def flow(self, service_port, requests):
+    async def flow(self, service_port, requests, port=None):
         """Opens a flow and sends requests. @param requests Yields (work in ms, pause after it in s, deadline in s).
-        @return Number of answers."""
-        self.port = self.port + 1 if self.port < 60000 else 20000
-        port, seq = self.port, self.site.random.getrandbits(31)
+        @param port The client's port; the next unused one without it. @return Number of answers."""
+        if port is None:
+            port = self.port = self.port + 1 if self.port < 60000 else 20000
+        seq = self.site.random.getrandbits(31)
         self.queues[port] = asyncio.Queue()
         answers = 0
         try:
@@ -578,14 +583,21 @@
                     if received and received[0] & (RST | FIN):
                         return answers
             self.send(ACK | FIN, echo, seq, peer, b"", port, service_port)
+            until = time.monotonic() + 0.2
+            while time.monotonic() < until:
+                received = await self.wait(port, until, until)
+                if received and received[0] & FIN:
+                    self.send(ACK, received[1], seq + 1, received[2] + 1, b"", port, service_port)
+                if received and received[0] & (FIN | RST):
+                    break
             return answers
         finally:
             del self.queues[port]
 
 
 class Operator:
-    def __init__(self, site):
-        self.site = site
+    def __init__(self, site, idle_s=IDLE_S):
+        self.site, self.idle_s = site, idle_s
 
     def configuration(self, version, timeout_ms=1000):
         routes = [{"Name": f"r-{port}", "Hostname": self.site.virtual, "PathPrefix": f"/{port}/", "Kind": kind,
@@ -595,7 +607,7 @@
                     for name in self.site.services]
         return json.dumps({"Version": version, "Routes": routes, "Services": services,
                            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000,
-                                      "IdleTimeoutMs": int(IDLE_S * 1000)}}).encode()
+                                      "IdleTimeoutMs": int(self.idle_s * 1000)}}).encode()
 
     async def request(self, method, path, body, daemon, timeout_s=1.0):
         ip, port = daemon.ip, self.site.ports["control"]
